--- /dev/null
+++ b/scripts/format.sh
@@ -0,0 +1,8 @@
+#!/usr/bin/env bash
+# Formats the sources; with --check, fails when one would change.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+mode=(-i)
+[ "${1:-}" = --check ] && mode=(--dry-run --Werror)
+git ls-files -z --cached --others --exclude-standard '*.cpp' '*.hpp' |
+    xargs -0 -r clang-format "${mode[@]}"
--- /dev/null
+++ b/src/log_events.cpp
@@ -0,0 +1,94 @@
+#include "log_events.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <array>
+
+namespace bramleymux
+{
+
+namespace
+{
+
+using level = event_level;
+
+constexpr std::array<event_info, static_cast<std::size_t>(event::count)>
+    event_table{{
+        {1001, level::info, "daemon_started", "The daemon serves its ports."},
+        {1002, level::info, "daemon_stopping", "A graceful stop began."},
+        {1003, level::info, "daemon_stopped", "The graceful stop is complete."},
+        {1004, level::error, "settings_invalid", "The settings have findings."},
+        {1101, level::info, "table_adopted", "A higher table version applies."},
+        {1102, level::error, "table_invalid", "A table could not be applied."},
+        {1201, level::warning, "platform_unavailable",
+            "The platform's object API does not answer."},
+        {1202, level::info, "platform_available",
+            "The platform's object API answers again."},
+        {1301, level::info, "peer_connected", "A peer link opened."},
+        {1302, level::info, "peer_disconnected", "A peer link closed."},
+        {1303, level::warning, "peer_message_invalid",
+            "A peer message could not be decoded and was ignored."},
+        {1304, level::info, "member_joined", "A VM joined the membership."},
+        {1305, level::warning, "member_suspected", "A VM missed its probes."},
+        {1306, level::warning, "member_removed", "A VM left or was removed."},
+        {1401, level::info, "view_changed", "The zone's view changed."},
+        {1402, level::info, "lease_gained", "This VM may act as an owner."},
+        {1403, level::warning, "lease_lapsed",
+            "This VM's ownership lease ended; it sends no work to targets."},
+        {1501, level::warning, "target_cold",
+            "A target fell back to its cold-start limit."},
+        {1502, level::warning, "target_unreachable",
+            "A target does not accept connections."},
+        {1503, level::info, "target_draining",
+            "A target is leaving and gets no new work."},
+        {1601, level::warning, "query_refused", "A request was refused."},
+        {1602, level::warning, "query_partial",
+            "An answer has missing shards."},
+        {1701, level::info, "move_step", "A version move changed its share."},
+        {1702, level::error, "move_withdrawn",
+            "A version move was withdrawn; the old version takes all work."},
+        {1703, level::info, "move_done", "A version move is complete."},
+        {1704, level::warning, "move_at_risk",
+            "A version move cannot complete safely before its deadline."},
+        {1801, level::info, "controller_lease_gained",
+            "This VM holds the controller lease."},
+        {1802, level::info, "controller_lease_lost",
+            "This VM no longer holds the controller lease."},
+        {1803, level::info, "idempotency_voided",
+            "A record of a request that never ran was removed."},
+        {1901, level::info, "tls_reloaded", "Certificates were read again."},
+        {1902, level::error, "tls_reload_failed",
+            "New certificates could not be read; the old ones stay in use."},
+    }};
+
+spdlog::level::level_enum
+spdlog_level(event_level value)
+{
+    switch (value)
+    {
+    case event_level::warning:
+        return spdlog::level::warn;
+    case event_level::error:
+        return spdlog::level::err;
+    default:
+        return spdlog::level::info;
+    }
+}
+
+} // namespace
+
+const event_info&
+info_of(event value)
+{
+    return event_table[static_cast<std::size_t>(value)];
+}
+
+void
+log_event(event value, std::string_view detail)
+{
+    const event_info& info = info_of(value);
+    spdlog::log(
+        spdlog_level(info.level), "E{} {} {}", info.number, info.name, detail);
+}
+
+} // namespace bramleymux
--- /dev/null
+++ b/src/log_events.hpp
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <bramleymux/types.hpp>
+
+#include <string_view>
+
+/// Numbered log events. Numbers are never reused; docs/events.md lists them
+/// and a test compares the two.
+namespace bramleymux
+{
+
+enum class event
+{
+    daemon_started,
+    daemon_stopping,
+    daemon_stopped,
+    settings_invalid,
+    table_adopted,
+    table_invalid,
+    platform_unavailable,
+    platform_available,
+    peer_connected,
+    peer_disconnected,
+    peer_message_invalid,
+    member_joined,
+    member_suspected,
+    member_removed,
+    view_changed,
+    lease_gained,
+    lease_lapsed,
+    target_cold,
+    target_unreachable,
+    target_draining,
+    query_refused,
+    query_partial,
+    move_step,
+    move_withdrawn,
+    move_done,
+    move_at_risk,
+    controller_lease_gained,
+    controller_lease_lost,
+    idempotency_voided,
+    tls_reloaded,
+    tls_reload_failed,
+    count
+};
+
+enum class event_level
+{
+    info,
+    warning,
+    error,
+    count
+};
+
+struct event_info
+{
+    int number;
+    event_level level;
+    std::string_view name;
+    std::string_view text; ///< what happened, for the catalogue
+};
+
+const event_info&
+info_of(event value);
+
+/// Writes one line: number, name, then `detail` ("key=value ..." pairs).
+void
+log_event(event value, std::string_view detail);
+
+} // namespace bramleymux
--- /dev/null
+++ b/src/peer.hpp
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <bramleymux/types.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// Messages between VMs. Each is a CBOR map with the field "type".
+namespace bramleymux
+{
+
+enum class peer_message_type
+{
+    hello,
+    probe,
+    ack,
+    probe_request,
+    leave,
+    view_request,
+    view_ack,
+    view_release,
+    sub_batch,
+    sub_reply,
+    cancel,
+    table,
+    target_report,
+    evidence,
+    withdrawal,
+    count
+};
+
+inline constexpr name_table<peer_message_type> peer_message_type_names{"hello",
+    "probe", "ack", "probe_request", "leave", "view_request", "view_ack",
+    "view_release", "sub_batch", "sub_reply", "cancel", "table",
+    "target_report", "evidence", "withdrawal"};
+
+/// Identity of one run of one VM.
+struct vm_identity
+{
+    std::string id;
+    std::string zone;
+    std::string peer_address; ///< IP:port
+    std::uint64_t incarnation = 0;
+};
+
+struct peer_message
+{
+    peer_message_type type = peer_message_type::count;
+    std::string from; ///< VM id
+    std::uint64_t from_incarnation = 0;
+    nlohmann::json body; ///< object
+};
+
+/// Sends without blocking; a message to an unreachable peer is dropped.
+class peer_transport
+{
+public:
+    virtual ~peer_transport() = default;
+
+    /// False when the peer has no open link; a link is then being opened.
+    virtual bool
+    send(const vm_identity& to, const peer_message& message) = 0;
+};
+
+using peer_message_handler = std::function<void(peer_message)>;
+
+} // namespace bramleymux
