--- a/src/ownership.cpp
+++ b/src/ownership.cpp
@@ -61,7 +61,7 @@
 {
     for (view_ack& ack : actions.acks)
     {
-        ack.running = running;
+        ack.running.insert(ack.running.end(), running.begin(), running.end());
     }
     for (view_release& release : actions.releases)
     {
@@ -328,7 +328,8 @@
 
 /// A peer that is ready and whose view lacks this VM may hold a lease that
 /// this VM promised nothing for. A peer that is in another view than the one
-/// promised has stopped acting under that one, even if its release was lost.
+/// promised has stopped acting under that one, even if its release was lost,
+/// but its work may still run.
 void
 ownership_state::note_heard(peer_state& peer, std::uint64_t number,
     const std::vector<vm_ref>& members, monotonic_time now)
@@ -343,11 +344,12 @@
     if (number > peer.promise_number &&
         hash_view(members) != peer.promised_view)
     {
-        peer.promise_until = never;
+        peer.moved_on = true;
+    }
+    if (std::find(members.begin(), members.end(), self_) == members.end())
+    {
+        peer.excluded_until = now + config::settle_time;
     }
-    const bool included =
-        std::find(members.begin(), members.end(), self_) != members.end();
-    peer.excluded_until = included ? never : now + config::settle_time;
 }
 
 void
@@ -457,18 +459,30 @@
             peer.promised_view = view_;
             peer.promise_number = peer.pending->number;
             peer.promise_until = now + config::view_lease;
+            peer.moved_on = false;
             out.acks.push_back(make_ack(*peer.pending, true, now));
         }
         peer.pending.reset();
     }
 }
 
+/// The acknowledgement passes on the running work of VMs outside the view,
+/// which the requester may not have heard from.
 view_ack
 ownership_state::make_ack(
     const view_request& request, bool granted, monotonic_time now)
 {
-    return {self_, request.from, ++number_, request.number, view_, members_,
-        granted, is_settled(now), {}};
+    view_ack ack{self_, request.from, ++number_, request.number, view_,
+        members_, granted, is_settled(now), {}};
+    for (const auto& [vm, peer] : peers_)
+    {
+        if (now < peer.running_until && !is_member(vm))
+        {
+            ack.running.insert(
+                ack.running.end(), peer.running.begin(), peer.running.end());
+        }
+    }
+    return ack;
 }
 
 /// Forgets VMs that can neither hold a lease nor be heard from again soon.
--- a/src/ownership.hpp
+++ b/src/ownership.hpp
@@ -177,6 +177,7 @@
         std::uint64_t promise_number = 0;
         monotonic_time promise_until = monotonic_time::min();
         std::uint64_t released_up_to = 0;
+        bool moved_on = false; ///< in another view than the one promised
         std::optional<view_request> pending;
         // Promise of the peer to this VM, for the current view.
         monotonic_time lease_until = monotonic_time::min();
