--- a/src/config.hpp
+++ b/src/config.hpp
@@ -68,6 +68,17 @@
 inline constexpr std::size_t slow_replies_for_cold = 3;
 inline constexpr double slow_reply_factor = 5.0;
 inline constexpr std::size_t sheds_for_cold = 2;
+// Successes of a cold target for each further slot. A failed attempt doubles
+// the number, since the target warms up more slowly than assumed.
+inline constexpr std::uint32_t successes_per_slot = 100;
+inline constexpr std::uint32_t max_successes_per_slot = 1600;
+// Step of the learned median latency for each reply, as a share of its value.
+inline constexpr double latency_step = 0.05;
+// Every eighth start takes the earliest deadline whatever its worth.
+inline constexpr std::uint32_t fair_start_period = 8;
+inline constexpr std::size_t failures_for_unreachable = 2;
+inline constexpr auto first_probe_delay = 100ms;
+inline constexpr auto max_probe_delay = 5s;
 
 // Extra load from hedges and retries, as a share of the shards asked.
 inline constexpr double extra_load_share = 0.05;
