--- a/src/config.hpp
+++ b/src/config.hpp
@@ -66,4 +66,12 @@
 inline constexpr auto idempotency_expiry = 24h;
 inline constexpr auto controller_lease = 5s;
 
+// A forwarded sub-request without a reply is dropped this long after its
+// deadline.
+inline constexpr auto forwarded_grace = 5s;
+
+// Traces.
+inline constexpr std::size_t max_pending_spans = 4096;
+inline constexpr auto span_export_period = 1s;
+
 } // namespace bramleymux::config
--- /dev/null
+++ b/src/http_server.cpp
@@ -0,0 +1,258 @@
+#include "http_server.hpp"
+
+#include <civetweb.h>
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <stdexcept>
+
+namespace bramleymux
+{
+
+namespace
+{
+
+constexpr const char* idle_timeout_ms = "30000";
+constexpr const char* request_timeout_ms = "10000";
+constexpr std::size_t read_chunk_bytes = 16384;
+
+std::string
+lower_case(std::string text)
+{
+    std::transform(text.begin(), text.end(), text.begin(),
+        [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    return text;
+}
+
+enum class body_result
+{
+    ok,
+    too_large,
+    incomplete,
+    count
+};
+
+body_result
+read_body(mg_connection* conn, long long declared, std::size_t limit,
+    std::string& out)
+{
+    if (declared > static_cast<long long>(limit))
+    {
+        return body_result::too_large;
+    }
+    std::array<char, read_chunk_bytes> chunk{};
+    for (;;)
+    {
+        const int n = mg_read(conn, chunk.data(), chunk.size());
+        if (n < 0)
+        {
+            return body_result::incomplete;
+        }
+        if (n == 0)
+        {
+            break;
+        }
+        if (out.size() + static_cast<std::size_t>(n) > limit)
+        {
+            return body_result::too_large;
+        }
+        out.append(chunk.data(), static_cast<std::size_t>(n));
+    }
+    const bool whole =
+        declared < 0 || out.size() == static_cast<std::size_t>(declared);
+    return whole ? body_result::ok : body_result::incomplete;
+}
+
+server_request
+request_of(const mg_request_info& info)
+{
+    server_request request;
+    request.method = info.request_method ? info.request_method : "";
+    request.path = info.local_uri ? info.local_uri : "";
+    request.query = info.query_string ? info.query_string : "";
+    request.remote = info.remote_addr;
+    request.client_certificate = info.client_cert != nullptr;
+    for (int i = 0; i < info.num_headers; ++i)
+    {
+        request.headers[lower_case(info.http_headers[i].name)] =
+            info.http_headers[i].value;
+    }
+    return request;
+}
+
+const char*
+status_text(int status)
+{
+    switch (status)
+    {
+    case 200:
+        return "OK";
+    case 204:
+        return "No Content";
+    case 400:
+        return "Bad Request";
+    case 401:
+        return "Unauthorized";
+    case 404:
+        return "Not Found";
+    case 405:
+        return "Method Not Allowed";
+    case 409:
+        return "Conflict";
+    case 413:
+        return "Content Too Large";
+    case 422:
+        return "Unprocessable Content";
+    case 503:
+        return "Service Unavailable";
+    case 504:
+        return "Gateway Timeout";
+    default:
+        return "Status";
+    }
+}
+
+void
+write_response(mg_connection* conn, const server_response& response)
+{
+    std::string out = "HTTP/1.1 " + std::to_string(response.status) + " " +
+                      status_text(response.status) + "\r\n";
+    for (const auto& [name, value] : response.headers)
+    {
+        out += name + ": " + value + "\r\n";
+    }
+    if (response.status != 204)
+    {
+        out += "Content-Type: " + response.content_type + "\r\n";
+    }
+    out += "Content-Length: " + std::to_string(response.body.size()) + "\r\n";
+    out += response.close_connection ? "Connection: close\r\n\r\n"
+                                     : "Connection: keep-alive\r\n\r\n";
+    out += response.body;
+    if (response.close_connection)
+    {
+        mg_disable_connection_keep_alive(conn);
+    }
+    mg_write(conn, out.data(), out.size());
+}
+
+server_response
+body_refusal(body_result result, std::size_t limit)
+{
+    server_response response;
+    response.content_type = "application/problem+json";
+    response.close_connection = true;
+    const bool large = result == body_result::too_large;
+    response.status = large ? 413 : 400;
+    response.body =
+        large
+            ? R"({"type":"about:blank","title":"body too large","status":413,)"
+              R"("code":"body_too_large","run":"not_run","detail":"at most )" +
+                  std::to_string(limit) + R"( bytes"})"
+            : R"({"type":"about:blank","title":"incomplete body","status":400,)"
+              R"("code":"incomplete_body","run":"not_run"})";
+    return response;
+}
+
+} // namespace
+
+struct http_server::impl
+{
+    server_handler handler;
+    std::size_t max_body_bytes = 0;
+    mg_context* context = nullptr;
+
+    static int
+    on_request(mg_connection* conn, void* self)
+    {
+        return static_cast<impl*>(self)->handle(conn);
+    }
+
+    int
+    handle(mg_connection* conn) const
+    {
+        const mg_request_info* info = mg_get_request_info(conn);
+        server_request request = request_of(*info);
+        const body_result body =
+            read_body(conn, info->content_length, max_body_bytes, request.body);
+        const server_response response =
+            body == body_result::ok ? handler(request)
+                                    : body_refusal(body, max_body_bytes);
+        write_response(conn, response);
+        return response.status;
+    }
+};
+
+http_server::http_server(
+    const http_server_options& options, server_handler handler)
+    : impl_(std::make_unique<impl>())
+{
+    impl_->handler = std::move(handler);
+    impl_->max_body_bytes = options.max_body_bytes;
+    const bool tls = !options.tls_certificate.empty();
+    const std::string port = options.listen + (tls ? "s" : "");
+    const std::string threads = std::to_string(options.threads);
+    std::vector<const char*> config{"listening_ports", port.c_str(),
+        "num_threads", threads.c_str(), "enable_keep_alive", "yes",
+        "keep_alive_timeout_ms", idle_timeout_ms, "request_timeout_ms",
+        request_timeout_ms, "tcp_nodelay", "1", "enable_directory_listing",
+        "no", "decode_url", "no"};
+    if (tls)
+    {
+        config.insert(
+            config.end(), {"ssl_certificate", options.tls_certificate.c_str(),
+                              "ssl_short_trust", "yes"});
+    }
+    if (tls && !options.tls_client_ca.empty())
+    {
+        config.insert(
+            config.end(), {"ssl_ca_file", options.tls_client_ca.c_str(),
+                              "ssl_verify_peer", "yes"});
+    }
+    config.push_back(nullptr);
+    static const unsigned library = mg_init_library(MG_FEATURES_TLS);
+    static_cast<void>(library);
+    const mg_callbacks callbacks{};
+    impl_->context = mg_start(&callbacks, nullptr, config.data());
+    if (impl_->context == nullptr)
+    {
+        throw std::runtime_error("cannot listen on " + options.listen);
+    }
+    mg_set_request_handler(impl_->context, "/", &impl::on_request, impl_.get());
+}
+
+http_server::~http_server()
+{
+    stop();
+}
+
+void
+http_server::stop()
+{
+    if (impl_->context != nullptr)
+    {
+        mg_stop(impl_->context);
+        impl_->context = nullptr;
+    }
+}
+
+const std::string&
+header_of(const server_request& request, const std::string& lower_case_name)
+{
+    static const std::string empty;
+    const auto found = request.headers.find(lower_case_name);
+    return found == request.headers.end() ? empty : found->second;
+}
+
+std::string
+query_parameter(const server_request& request, const std::string& name)
+{
+    std::array<char, 512> value{};
+    const int n = mg_get_var(request.query.data(), request.query.size(),
+        name.c_str(), value.data(), value.size());
+    return n > 0 ? std::string(value.data(), static_cast<std::size_t>(n))
+                 : std::string();
+}
+
+} // namespace bramleymux
--- /dev/null
+++ b/src/http_server.hpp
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <bramleymux/types.hpp>
+
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+/// HTTP/1.1 server over CivetWeb: one handler for all paths, bounded bodies.
+namespace bramleymux
+{
+
+struct server_request
+{
+    std::string method;
+    std::string path;                           ///< without the query string
+    std::string query;                          ///< raw query string
+    std::map<std::string, std::string> headers; ///< names in lower case
+    std::string body;
+    std::string remote; ///< caller's IP address
+    bool client_certificate = false;
+};
+
+struct server_response
+{
+    int status = 200;
+    std::string content_type = "application/json";
+    std::vector<std::pair<std::string, std::string>> headers;
+    std::string body;
+    bool close_connection = false;
+};
+
+using server_handler = std::function<server_response(const server_request&)>;
+
+struct http_server_options
+{
+    std::string listen; ///< IP:port
+    std::size_t threads = 8;
+    std::size_t max_body_bytes = 0;
+    std::string tls_certificate; ///< PEM with certificate and key; empty = HTTP
+    std::string tls_client_ca;   ///< when set, clients must show a certificate
+};
+
+class http_server
+{
+public:
+    /// Throws std::runtime_error when the address cannot be bound.
+    http_server(const http_server_options& options, server_handler handler);
+    ~http_server();
+
+    http_server(const http_server&) = delete;
+    http_server&
+    operator=(const http_server&) = delete;
+
+    /// Waits for running requests, then closes all connections.
+    void
+    stop();
+
+private:
+    struct impl;
+    std::unique_ptr<impl> impl_;
+};
+
+/// Value of a header, or an empty string.
+const std::string&
+header_of(const server_request& request, const std::string& lower_case_name);
+
+/// Value of a query parameter, decoded; empty when absent.
+std::string
+query_parameter(const server_request& request, const std::string& name);
+
+} // namespace bramleymux
--- /dev/null
+++ b/src/problem.hpp
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <bramleymux/types.hpp>
+
+#include "http_server.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <string>
+#include <string_view>
+
+/// Problem documents (RFC 9457) with a stable code and a `run` field.
+namespace bramleymux
+{
+
+enum class problem_code
+{
+    none,
+    unknown_path,
+    method_not_allowed,
+    unknown_service,
+    unknown_route,
+    invalid_request,
+    idempotency_key_required,
+    idempotency_key_reused,
+    duplicate_request,
+    unauthorized,
+    no_table,
+    stopping,
+    overloaded,
+    no_snapshot,
+    platform_unavailable,
+    coverage_below_minimum,
+    target_refused,
+    deadline_passed,
+    outcome_unknown,
+    edit_invalid,
+    edit_conflict,
+    edit_not_accepted,
+    edit_unknown,
+    count
+};
+
+inline constexpr name_table<problem_code> problem_code_names{"none",
+    "unknown_path", "method_not_allowed", "unknown_service", "unknown_route",
+    "invalid_request", "idempotency_key_required", "idempotency_key_reused",
+    "duplicate_request", "unauthorized", "no_table", "stopping", "overloaded",
+    "no_snapshot", "platform_unavailable", "coverage_below_minimum",
+    "target_refused", "deadline_passed", "outcome_unknown", "edit_invalid",
+    "edit_conflict", "edit_not_accepted", "edit_unknown"};
+
+struct problem_info
+{
+    int status;
+    std::string_view title;
+};
+
+const problem_info&
+info_of(problem_code code);
+
+/// Members of the document besides those of RFC 9457 go into `extra`.
+server_response
+make_problem(problem_code code, run_state run, const std::string& detail,
+    nlohmann::json extra = nlohmann::json::object());
+
+nlohmann::json
+to_json(const findings& found);
+
+} // namespace bramleymux
