Parse, validate and compile the table (table and catalog ready)

Cause: routing, limits and edits need the operators' rows and their handles. Change: table parsing, writing and validation with a place for each finding; catalogs with handles that stay the same over table changes.

--- a/src/catalog.hpp
+++ b/src/catalog.hpp
@@ -112,6 +112,9 @@
     std::vector<catalog_version> versions;
     std::vector<catalog_target> targets;
     std::vector<move_row> moves;
+    /// Rows left out because their registry is full ("kind/key"); the names of
+    /// removed rows keep their handles until the process is replaced.
+    std::vector<std::string> unregistered;
 };
 
 std::shared_ptr<const catalog>
@@ -123,6 +126,12 @@
 const catalog_service*
 find_service(const catalog& c, std::string_view name);
 
+const catalog_zone*
+find_zone(const catalog& c, std::string_view name);
+
+const catalog_version*
+find_version(const catalog& c, service_handle service, std::string_view name);
+
 const catalog_route*
 find_route(const catalog& c, service_handle service, std::string_view name);
 
--- a/src/config.hpp
+++ b/src/config.hpp
@@ -33,6 +33,12 @@
 inline constexpr std::size_t max_reply_body_bytes = 4 * mib;
 inline constexpr std::size_t max_peer_message_bytes = 8 * mib;
 inline constexpr std::size_t max_table_bytes = mib;
+inline constexpr std::size_t max_edit_records = 256;
+inline constexpr std::size_t max_name_bytes = 64;
+inline constexpr std::size_t max_cause_bytes = 512;
+inline constexpr std::uint32_t max_slots_per_target = 1024;
+inline constexpr std::uint32_t max_connections_per_target = 1024;
+inline constexpr std::uint32_t max_connect_cost_ms = 10'000;
 
 inline constexpr auto default_deadline = 1000ms;
 inline constexpr auto max_deadline = 30s;
--- a/src/table.hpp
+++ b/src/table.hpp
@@ -150,4 +150,13 @@
 std::string
 row_key(row_kind kind, const nlohmann::json& row);
 
+/// Name of the array that holds the rows of a kind, for example "zones".
+std::string
+array_name(row_kind kind);
+
+/// Splits "IP:port" (IPv4, or IPv6 in brackets); false when it is malformed.
+bool
+split_address(
+    const std::string& address, std::string& host, std::uint16_t& port);
+
 } // namespace bramleymux
