--- /dev/null
+++ b/src/routing.cpp
@@ -0,0 +1,598 @@
+#include "routing.hpp"
+
+#include "config.hpp"
+#include "latency.hpp"
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <numeric>
+#include <utility>
+
+namespace bramleymux
+{
+
+namespace
+{
+
+/// A target that holds a snapshot.
+struct holder
+{
+    target_handle target;
+    const held_snapshot* snapshot = nullptr;
+};
+
+using holders_by_sequence = std::map<snapshot_sequence, std::vector<holder>>;
+
+holders_by_sequence
+collect_holders(const catalog& c, const std::vector<target_report>& reports,
+    service_handle service)
+{
+    holders_by_sequence result;
+    for (const auto target : c.services[service.index].targets)
+    {
+        if (target.index >= reports.size())
+        {
+            continue;
+        }
+        for (const auto& held : reports[target.index].snapshots)
+        {
+            if (held.shard_count > 0 && held.shard_count <= config::max_shards)
+            {
+                result[held.sequence].push_back({target, &held});
+            }
+        }
+    }
+    return result;
+}
+
+/// Shard count that most holders state, the larger on ties. Holders that state
+/// another one have another shard map, so their rows can't be merged.
+std::uint32_t
+agreed_shard_count(const std::vector<holder>& holders)
+{
+    std::map<std::uint32_t, std::size_t> votes;
+    for (const auto& h : holders)
+    {
+        ++votes[h.snapshot->shard_count];
+    }
+    std::uint32_t best = 0;
+    std::size_t most = 0;
+    for (const auto& [shard_count, number] : votes)
+    {
+        if (number >= most)
+        {
+            best = shard_count;
+            most = number;
+        }
+    }
+    return best;
+}
+
+std::vector<std::vector<target_handle>>
+replicas_by_shard(const std::vector<holder>& holders, std::uint32_t shard_count)
+{
+    std::vector<std::vector<target_handle>> result(shard_count);
+    for (const auto& h : holders)
+    {
+        if (h.snapshot->shard_count != shard_count)
+        {
+            continue;
+        }
+        for (const auto& range : h.snapshot->shards)
+        {
+            for (shard_id s = range.first; s <= range.last && s < shard_count;
+                 ++s)
+            {
+                auto& replicas = result[s];
+                if (replicas.empty() || replicas.back() != h.target)
+                {
+                    replicas.push_back(h.target);
+                }
+            }
+        }
+    }
+    return result;
+}
+
+snapshot_index
+compile_snapshot(snapshot_sequence sequence, const std::vector<holder>& holders)
+{
+    snapshot_index result;
+    result.sequence = sequence;
+    result.shard_count = agreed_shard_count(holders);
+    result.group_of.reserve(result.shard_count);
+    std::map<std::vector<target_handle>, std::uint32_t> known;
+    for (auto& replicas : replicas_by_shard(holders, result.shard_count))
+    {
+        const auto next = static_cast<std::uint32_t>(result.groups.size());
+        const auto [found, added] = known.emplace(replicas, next);
+        if (added)
+        {
+            result.groups.push_back({std::move(replicas), 0});
+        }
+        ++result.groups[found->second].shards;
+        result.group_of.push_back(found->second);
+    }
+    return result;
+}
+
+std::shared_ptr<const service_index>
+compile_service(const catalog& c, const std::vector<target_report>& reports,
+    service_handle service)
+{
+    const auto by_sequence = collect_holders(c, reports, service);
+    std::vector<std::pair<snapshot_sequence, const std::vector<holder>*>> kept;
+    for (const auto& [sequence, holders] : by_sequence)
+    {
+        kept.emplace_back(sequence, &holders);
+    }
+    if (kept.size() > config::max_snapshots_per_service)
+    {
+        // A target that reports many snapshots must not displace those that
+        // the others hold.
+        std::sort(kept.begin(), kept.end(),
+            [](const auto& a, const auto& b)
+            {
+                return std::pair(a.second->size(), a.first) >
+                       std::pair(b.second->size(), b.first);
+            });
+        kept.resize(config::max_snapshots_per_service);
+    }
+    std::sort(kept.begin(), kept.end(),
+        [](const auto& a, const auto& b) { return a.first > b.first; });
+    auto result = std::make_shared<service_index>();
+    for (const auto& [sequence, holders] : kept)
+    {
+        result->snapshots.push_back(compile_snapshot(sequence, *holders));
+    }
+    return result;
+}
+
+std::vector<version_handle>
+versions_by_target(const catalog& c)
+{
+    std::vector<version_handle> result(c.targets.size());
+    for (const auto& t : c.targets)
+    {
+        if (t.self.is_valid())
+        {
+            result[t.self.index] = t.version;
+        }
+    }
+    return result;
+}
+
+bool
+is_usable(const target_views& views, target_handle target)
+{
+    return target.index < views.size() &&
+           views[target.index].unusable == miss_reason::none &&
+           views[target.index].weight > 0.0;
+}
+
+bool
+has_version(
+    const routing_index& index, target_handle target, version_handle version)
+{
+    return !version.is_valid() || (target.index < index.versions.size() &&
+                                      index.versions[target.index] == version);
+}
+
+std::uint32_t
+count_usable_shards(const routing_index& index, const snapshot_index& snapshot,
+    version_handle version, const target_views& views)
+{
+    std::uint32_t result = 0;
+    for (const auto& group : snapshot.groups)
+    {
+        if (std::any_of(group.replicas.begin(), group.replicas.end(),
+                [&](target_handle t) {
+                    return is_usable(views, t) &&
+                           has_version(index, t, version);
+                }))
+        {
+            result += group.shards;
+        }
+    }
+    return result;
+}
+
+/// The most specific state among unusable replicas: the one that is nearest to
+/// taking work again.
+miss_reason
+reason_of_group(const shard_group& group, const target_views& views)
+{
+    constexpr std::array nearest{miss_reason::owner_unknown,
+        miss_reason::unreachable, miss_reason::draining, miss_reason::zone_out};
+    for (const auto reason : nearest)
+    {
+        if (std::any_of(group.replicas.begin(), group.replicas.end(),
+                [&](target_handle t) {
+                    return t.index < views.size() &&
+                           views[t.index].unusable == reason;
+                }))
+        {
+            return reason;
+        }
+    }
+    return miss_reason::no_replica;
+}
+
+/// Replicas of one group between which the policy chooses.
+struct candidate_set
+{
+    std::array<target_handle, config::max_candidates> targets;
+    std::size_t size = 0;
+    std::size_t rank = 0; ///< lower is preferred; all have the same
+};
+
+constexpr std::size_t no_rank = 4;
+
+/// Version comes before backoff: a backoff must not move more traffic to a
+/// version than its share allows. A blocked replica is the last resort, since
+/// the owner still enforces the target's limit.
+std::size_t
+candidate_rank(const routing_index& index, const plan_request& request,
+    const target_views& views, target_handle target, monotonic_time now)
+{
+    if (!is_usable(views, target) ||
+        std::find(request.tried.begin(), request.tried.end(), target) !=
+            request.tried.end())
+    {
+        return no_rank;
+    }
+    const bool other_version = !has_version(index, target, request.version);
+    const bool blocked = request.policy == routing_policy::adaptive &&
+                         views[target.index].blocked_until > now;
+    return (other_version ? 2 : 0) + (blocked ? 1 : 0);
+}
+
+candidate_set
+collect_candidates(const routing_index& index, const shard_group& group,
+    const plan_request& request, const target_views& views, monotonic_time now,
+    std::size_t start)
+{
+    candidate_set result;
+    result.rank = no_rank;
+    for (std::size_t i = 0; i < group.replicas.size(); ++i)
+    {
+        const auto target = group.replicas[(start + i) % group.replicas.size()];
+        const auto rank = candidate_rank(index, request, views, target, now);
+        if (rank < result.rank)
+        {
+            result.rank = rank;
+            result.size = 0;
+        }
+        if (rank == result.rank && rank != no_rank &&
+            result.size < result.targets.size())
+        {
+            result.targets[result.size++] = target;
+        }
+    }
+    return result;
+}
+
+double
+load_of(const target_view& view, bool in_batch, bool use_latency)
+{
+    // The batch that this query already sends counts as its own request.
+    const double waiting = in_batch ? 0.0 : 1.0;
+    const double load = (waiting + view.in_flight) / view.weight;
+    return use_latency ? load * view.latency_us : load;
+}
+
+class planner
+{
+public:
+    planner(const routing_index& index, const snapshot_index& snapshot,
+        const plan_request& request, const target_views& views,
+        monotonic_time now, std::mt19937_64& random)
+        : index_(index), snapshot_(snapshot), request_(request), views_(views),
+          now_(now), random_(random),
+          batch_of_group_(snapshot.groups.size(), unplanned)
+    {
+    }
+
+    query_plan
+    run()
+    {
+        for (const auto shard : request_.shards)
+        {
+            add(shard);
+        }
+        return std::move(plan_);
+    }
+
+private:
+    static constexpr int unplanned = -1;
+    static constexpr int unplaced = -2;
+
+    void
+    add(shard_id shard)
+    {
+        if (shard >= snapshot_.shard_count)
+        {
+            plan_.missing.push_back({shard, miss_reason::no_replica});
+            return;
+        }
+        const auto g = snapshot_.group_of[shard];
+        if (batch_of_group_[g] == unplanned)
+        {
+            batch_of_group_[g] = place(snapshot_.groups[g]);
+        }
+        if (batch_of_group_[g] == unplaced)
+        {
+            plan_.missing.push_back(
+                {shard, reason_of_group(snapshot_.groups[g], views_)});
+            return;
+        }
+        plan_.batches[batch_of_group_[g]].shards.push_back(shard);
+    }
+
+    int
+    place(const shard_group& group)
+    {
+        const auto start = request_.policy == routing_policy::baseline
+                               ? std::size_t{0}
+                               : static_cast<std::size_t>(random_());
+        const auto candidates =
+            collect_candidates(index_, group, request_, views_, now_, start);
+        if (candidates.size == 0)
+        {
+            return unplaced;
+        }
+        return batch_of(
+            request_.policy == routing_policy::baseline
+                ? candidates.targets[request_.turn % candidates.size]
+                : choose(candidates));
+    }
+
+    /// The candidates start at a random replica, so the first two are a random
+    /// pair of neighbours; the second is drawn from all the others.
+    target_handle
+    choose(const candidate_set& candidates)
+    {
+        const auto first = candidates.targets[0];
+        const auto second =
+            candidates.size < 2
+                ? first
+                : candidates.targets[1 + random_() % (candidates.size - 1)];
+        const auto fresh = better_of(first, second);
+        target_handle reused;
+        for (std::size_t i = 0; i < candidates.size; ++i)
+        {
+            const auto target = candidates.targets[i];
+            if (find_batch(target) >= 0)
+            {
+                reused = reused.is_valid() ? better_of(reused, target) : target;
+            }
+        }
+        if (!reused.is_valid() || reused == fresh)
+        {
+            return fresh;
+        }
+        const bool by_latency = is_measured(reused) && is_measured(fresh);
+        return load_of(view(reused), true, by_latency) <=
+                       config::batch_reuse_factor *
+                           load_of(view(fresh), false, by_latency)
+                   ? reused
+                   : fresh;
+    }
+
+    const target_view&
+    view(target_handle target) const
+    {
+        return views_[target.index];
+    }
+
+    bool
+    is_measured(target_handle target) const
+    {
+        return view(target).latency_us > 0.0;
+    }
+
+    /// Latency counts only when both are measured: an unmeasured target would
+    /// otherwise draw either all the traffic or none.
+    target_handle
+    better_of(target_handle a, target_handle b) const
+    {
+        const bool by_latency = is_measured(a) && is_measured(b);
+        return load_of(view(b), false, by_latency) <
+                       load_of(view(a), false, by_latency)
+                   ? b
+                   : a;
+    }
+
+    int
+    find_batch(target_handle target) const
+    {
+        for (std::size_t i = 0; i < plan_.batches.size(); ++i)
+        {
+            if (plan_.batches[i].target == target)
+            {
+                return static_cast<int>(i);
+            }
+        }
+        return unplaced;
+    }
+
+    int
+    batch_of(target_handle target)
+    {
+        const int found = find_batch(target);
+        if (found >= 0)
+        {
+            return found;
+        }
+        plan_.batches.push_back({target, {}});
+        return static_cast<int>(plan_.batches.size()) - 1;
+    }
+
+    const routing_index& index_;
+    const snapshot_index& snapshot_;
+    const plan_request& request_;
+    const target_views& views_;
+    monotonic_time now_;
+    std::mt19937_64& random_;
+    query_plan plan_;
+    std::vector<int> batch_of_group_;
+};
+
+} // namespace
+
+std::shared_ptr<const routing_index>
+build_routing_index(const catalog& c, const std::vector<target_report>& reports)
+{
+    auto result = std::make_shared<routing_index>();
+    result->versions = versions_by_target(c);
+    result->services.resize(c.services.size());
+    for (const auto& service : c.services)
+    {
+        if (service.self.is_valid())
+        {
+            result->services[service.self.index] =
+                compile_service(c, reports, service.self);
+        }
+    }
+    return result;
+}
+
+std::shared_ptr<const routing_index>
+rebuild_service(const routing_index& index, const catalog& c,
+    const std::vector<target_report>& reports, service_handle service)
+{
+    auto result = std::make_shared<routing_index>(index);
+    if (service.index < c.services.size() &&
+        service.index < result->services.size())
+    {
+        result->services[service.index] = compile_service(c, reports, service);
+    }
+    return result;
+}
+
+bool
+same_holdings(const target_report& a, const target_report& b)
+{
+    const auto same_range = [](const shard_range& x, const shard_range& y)
+    { return x.first == y.first && x.last == y.last; };
+    return std::equal(a.snapshots.begin(), a.snapshots.end(),
+        b.snapshots.begin(), b.snapshots.end(),
+        [&](const held_snapshot& x, const held_snapshot& y)
+        {
+            return x.sequence == y.sequence && x.shard_count == y.shard_count &&
+                   std::equal(x.shards.begin(), x.shards.end(),
+                       y.shards.begin(), y.shards.end(), same_range);
+        });
+}
+
+miss_reason
+unusable_reason(const target_facts& facts)
+{
+    if (facts.zone_out)
+    {
+        return miss_reason::zone_out;
+    }
+    if (facts.draining)
+    {
+        return miss_reason::draining;
+    }
+    if (!facts.reachable)
+    {
+        return miss_reason::unreachable;
+    }
+    return facts.owner_known ? miss_reason::none : miss_reason::owner_unknown;
+}
+
+const snapshot_index*
+find_snapshot(const routing_index& index, service_handle service,
+    snapshot_sequence sequence)
+{
+    if (service.index >= index.services.size() ||
+        !index.services[service.index])
+    {
+        return nullptr;
+    }
+    const auto& all = index.services[service.index]->snapshots;
+    const auto found = std::find_if(all.begin(), all.end(),
+        [&](const snapshot_index& s) { return s.sequence == sequence; });
+    return found == all.end() ? nullptr : &*found;
+}
+
+const snapshot_index*
+choose_snapshot(const routing_index& index, service_handle service,
+    version_handle version, const target_views& views)
+{
+    if (service.index >= index.services.size() ||
+        !index.services[service.index])
+    {
+        return nullptr;
+    }
+    const auto& all = index.services[service.index]->snapshots;
+    if (version.is_valid())
+    {
+        const auto whole = std::find_if(all.begin(), all.end(),
+            [&](const snapshot_index& s) {
+                return count_usable_shards(index, s, version, views) ==
+                       s.shard_count;
+            });
+        if (whole != all.end())
+        {
+            return &*whole;
+        }
+    }
+    const snapshot_index* best = nullptr;
+    std::uint32_t most = 0;
+    for (const auto& s : all)
+    {
+        const auto usable = count_usable_shards(index, s, {}, views);
+        if (usable == s.shard_count)
+        {
+            return &s;
+        }
+        if (best == nullptr || usable > most)
+        {
+            best = &s;
+            most = usable;
+        }
+    }
+    return best;
+}
+
+std::vector<shard_id>
+all_shards(const snapshot_index& snapshot)
+{
+    std::vector<shard_id> result(snapshot.shard_count);
+    std::iota(result.begin(), result.end(), shard_id{0});
+    return result;
+}
+
+query_plan
+plan_query(const routing_index& index, const snapshot_index& snapshot,
+    const plan_request& request, const target_views& views, monotonic_time now,
+    std::mt19937_64& random)
+{
+    return planner(index, snapshot, request, views, now, random).run();
+}
+
+duration
+refusal_block(
+    miss_reason reason, std::uint32_t refusals, std::mt19937_64& random)
+{
+    switch (reason)
+    {
+    case miss_reason::shed:
+    case miss_reason::queue_full:
+    case miss_reason::lease_lapsed:
+        return full_jitter(refusals, config::overload_block_base,
+            config::overload_block_cap, random);
+    case miss_reason::unreachable:
+    case miss_reason::owner_unknown:
+        return full_jitter(refusals, config::failure_block_base,
+            config::failure_block_cap, random);
+    default:
+        return duration::zero();
+    }
+}
+
+} // namespace bramleymux
