--- /dev/null
+++ b/src/blackboard.hpp
@@ -0,0 +1,123 @@
+#pragma once
+
+#include "catalog.hpp"
+#include "config.hpp"
+#include "latency.hpp"
+#include "owner_map.hpp"
+#include "published.hpp"
+#include "routing.hpp"
+
+#include <bramleymux/types.hpp>
+
+#include <array>
+#include <cstdint>
+#include <memory>
+#include <mutex>
+#include <vector>
+
+/// State that controllers write and queries read. Each part has its own lock.
+namespace bramleymux
+{
+
+/// Which version takes a service's queries.
+struct version_choice
+{
+    version_handle from; ///< invalid: no move, any version
+    version_handle to;
+    double share = 0.0; ///< of queries that go to `to`
+};
+
+/// What the entry VM measures of each target.
+class target_board
+{
+public:
+    target_board();
+
+    /// Fills the entries of `targets` in `out` for a routing decision.
+    void
+    read(const std::vector<target_handle>& targets,
+        const std::vector<target_facts>& facts, const catalog& c,
+        monotonic_time now, target_views& out) const;
+
+    void
+    sent(target_handle target);
+
+    /// A reply: `elapsed` since the send; a refusal or failure blocks the
+    /// target for a short time.
+    void
+    replied(target_handle target, miss_reason error, duration elapsed,
+        monotonic_time now, std::mt19937_64& random);
+
+private:
+    struct entry
+    {
+        latency_mean latency;
+        std::uint32_t in_flight = 0;
+        std::uint32_t refusals = 0; ///< in a row
+        monotonic_time blocked_until{};
+    };
+
+    struct state_shard
+    {
+        mutable std::mutex mutex;
+        std::vector<entry> entries;
+    };
+
+    entry&
+    entry_of(target_handle target);
+
+    std::array<state_shard, config::target_state_shards> shards_;
+};
+
+/// Latency of each route, and the budgets of extra load.
+class load_board
+{
+public:
+    explicit load_board(double extra_load_share);
+
+    duration
+    hedge_delay_of(route_handle route) const;
+
+    void
+    record_latency(route_handle route, duration sample, monotonic_time now);
+
+    void
+    earn_for(service_handle service, std::size_t shards, monotonic_time now);
+
+    bool
+    spend_hedge(std::size_t shards);
+
+    bool
+    spend_retry_of(service_handle service, run_state run, std::size_t shards);
+
+    void
+    shed_seen(monotonic_time now);
+
+private:
+    struct route_entry
+    {
+        mutable std::mutex mutex;
+        latency_sketch sketch;
+    };
+
+    std::array<route_entry, config::max_routes> routes_;
+    std::mutex budget_mutex_;
+    extra_load_budget extra_;
+    std::array<retry_budget, config::max_services> retries_;
+};
+
+struct blackboard
+{
+    explicit blackboard(double extra_load_share) : load(extra_load_share) {}
+
+    published<table> rows;
+    published<catalog> topology;
+    published<routing_index> routes;
+    published<std::vector<target_facts>> facts; ///< by target handle
+    published<owner_map> owners;
+    published<std::vector<version_choice>> versions; ///< by service handle
+    target_board targets;
+    load_board load;
+};
+
+} // namespace bramleymux
--- a/src/caller_request.hpp
+++ b/src/caller_request.hpp
@@ -26,6 +26,8 @@
     double worth = 1.0; ///< multiplies the route's worth, at most 1
     std::string idempotency_key;
     trace_context trace;
+    std::string parent_span_id; ///< of the caller's traceparent
+    std::uint64_t turn = 0; ///< number of the request at this VM
     nlohmann::json query;
 };
 
--- a/src/config.hpp
+++ b/src/config.hpp
@@ -108,6 +108,14 @@
 // deadline.
 inline constexpr auto forwarded_grace = 5s;
 
+// Entry VM. Time kept back from a caller's deadline for the merge and the
+// way back of the answer.
+inline constexpr auto entry_hop_cost = 2ms;
+inline constexpr std::size_t max_attempts_per_shard = 4;
+inline constexpr std::size_t max_snapshot_restarts = 2;
+inline constexpr auto retry_delay_base = 5ms;
+inline constexpr auto retry_delay_cap = 100ms;
+
 // Traces.
 inline constexpr std::size_t max_pending_spans = 4096;
 inline constexpr auto span_export_period = 1s;
--- /dev/null
+++ b/src/mailbox.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "sub_request.hpp"
+
+#include <condition_variable>
+#include <mutex>
+#include <utility>
+#include <vector>
+
+namespace bramleymux
+{
+
+/// Sub-replies for one query, from any thread to the query's thread.
+class mailbox
+{
+public:
+    void
+    push(sub_reply reply)
+    {
+        {
+            const std::lock_guard<std::mutex> lock(mutex_);
+            replies_.push_back(std::move(reply));
+        }
+        wake_.notify_one();
+    }
+
+    /// Replies that arrived; waits for one until `until`.
+    std::vector<sub_reply>
+    wait(monotonic_time until)
+    {
+        std::unique_lock<std::mutex> lock(mutex_);
+        wake_.wait_until(lock, until, [this] { return !replies_.empty(); });
+        return std::exchange(replies_, {});
+    }
+
+private:
+    std::mutex mutex_;
+    std::condition_variable wake_;
+    std::vector<sub_reply> replies_;
+};
+
+} // namespace bramleymux
