--- a/src/config.hpp
+++ b/src/config.hpp
@@ -61,6 +61,12 @@
 inline constexpr double hedge_quantile = 0.97;
 inline constexpr auto shed_penalty = 10s;
 
+// HTTP clients.
+inline constexpr std::size_t http_read_bytes = 16 * kib;
+inline constexpr std::size_t platform_connections = 8;
+inline constexpr auto target_cancel_timeout = 100ms;
+inline constexpr auto target_status_timeout = 1s;
+
 // Platform.
 inline constexpr auto platform_timeout = 2s;
 inline constexpr auto idempotency_expiry = 24h;
