--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -19,9 +19,8 @@
 is_token(std::string_view value)
 {
     return !value.empty() && std::all_of(value.begin(), value.end(),
-                                 [](unsigned char c) {
-                                     return c > 0x20 && c < 0x7f && c != ':';
-                                 });
+                                 [](unsigned char c)
+                                 { return c > 0x20 && c < 0x7f && c != ':'; });
 }
 
 /// A CR, LF or NUL in a value would start a header of the sender's choice.
@@ -65,8 +64,8 @@
     if (!request.body.empty() || request.method == "PUT" ||
         request.method == "POST")
     {
-        out += "Content-Length: " + std::to_string(request.body.size()) +
-               "\r\n";
+        out +=
+            "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
     }
     out += "\r\n";
     out += request.body;
--- a/src/http_client.hpp
+++ b/src/http_client.hpp
@@ -199,6 +199,10 @@
     std::size_t
     warm(std::size_t count, monotonic_time deadline);
 
+    /// Takes effect as connections are given back or opened.
+    void
+    set_limit(std::size_t limit);
+
     pool_stats
     stats() const;
 
--- a/src/http_pool.cpp
+++ b/src/http_pool.cpp
@@ -98,7 +98,7 @@
 {
     {
         const std::lock_guard lock(mutex_);
-        if (connection.is_open())
+        if (connection.is_open() && stats_.open <= limit_)
         {
             idle_.push_back(std::move(connection));
         }
@@ -159,6 +159,16 @@
     }
 }
 
+void
+connection_pool::set_limit(std::size_t limit)
+{
+    {
+        const std::lock_guard lock(mutex_);
+        limit_ = std::max<std::size_t>(1, limit);
+    }
+    changed_.notify_all();
+}
+
 pool_stats
 connection_pool::stats() const
 {
--- a/src/http_socket.cpp
+++ b/src/http_socket.cpp
@@ -170,9 +170,7 @@
 class watchdog
 {
 public:
-    watchdog() : thread_([this] { run(); })
-    {
-    }
+    watchdog() : thread_([this] { run(); }) {}
 
     watchdog(const watchdog&) = delete;
     watchdog&
@@ -262,8 +260,8 @@
     registry& r = sockets();
     {
         std::unique_lock lock(r.mutex);
-        if (!r.changed.wait_until(lock, deadline,
-                [&] { return r.connecting.count(*peer) == 0; }))
+        if (!r.changed.wait_until(
+                lock, deadline, [&] { return r.connecting.count(*peer) == 0; }))
         {
             return std::nullopt;
         }
--- a/tests/raw_server.hpp
+++ b/tests/raw_server.hpp
@@ -20,8 +20,7 @@
 {
 public:
     explicit raw_server(std::function<void(int)> script)
-        : script_(std::move(script)),
-          listener_(socket(AF_INET, SOCK_STREAM, 0))
+        : script_(std::move(script)), listener_(socket(AF_INET, SOCK_STREAM, 0))
     {
         sockaddr_in name{};
         name.sin_family = AF_INET;
--- a/tests/test_http_client.cpp
+++ b/tests/test_http_client.cpp
@@ -54,9 +54,8 @@
     for (int i = 0; i < 20; ++i)
     {
         const std::string body(static_cast<std::size_t>(i) * 5000, 'a');
-        const auto reply =
-            pool.request({"POST", "/p", {{"X-N", std::to_string(i)}}, body},
-                after(give_up));
+        const auto reply = pool.request(
+            {"POST", "/p", {{"X-N", std::to_string(i)}}, body}, after(give_up));
         REQUIRE(reply);
         CHECK(reply.value().body.find("X-N: " + std::to_string(i) + "\r\n") !=
               std::string::npos);
@@ -77,8 +76,8 @@
                             "chunked\r\n\r\n5\r\nabc",
                        true),
               100ms) == http_errc::timeout);
-    CHECK(error_of(send_and("HTTP/1.1 200", true), 100ms) ==
-          http_errc::timeout);
+    CHECK(
+        error_of(send_and("HTTP/1.1 200", true), 100ms) == http_errc::timeout);
     CHECK(error_of(send_and("", true), 100ms) == http_errc::timeout);
     // 30 s is the library's limit for one of them.
     CHECK(monotonic_clock::now() - begin < 29s);
@@ -108,9 +107,10 @@
 // Guards against a chunked body read wrongly.
 TEST_CASE("a chunked reply is joined", "[http]")
 {
-    raw_server server(send_and("HTTP/1.1 200 OK\r\nTransfer-Encoding: "
-                               "chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n",
-        true));
+    raw_server server(
+        send_and("HTTP/1.1 200 OK\r\nTransfer-Encoding: "
+                 "chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n",
+            true));
     connection_pool pool(server.address(), 1);
     const auto reply = pool.request({"GET", "/", {}, ""}, after(give_up));
     REQUIRE(reply);
@@ -181,8 +181,7 @@
 {
     int n = 0;
     raw_server server(answer_each(
-        [&](const std::string&)
-        {
+        [&](const std::string&) {
             return reply_text(200, std::to_string(++n)) +
                    reply_text(200, "stray");
         }));
@@ -224,8 +223,7 @@
     raw_server server(
         answer_each([](const std::string&) { return reply_text(200, ""); }));
     connection_pool pool(server.address(), 1);
-    const std::vector<http_request> bad{
-        {"GET", "/", {{"X", "a\r\nY: b"}}, ""},
+    const std::vector<http_request> bad{{"GET", "/", {{"X", "a\r\nY: b"}}, ""},
         {"GET", "/", {{"X", "a\nb"}}, ""}, {"GET", "/", {{"X\r\n", "a"}}, ""},
         {"GET", "/", {{"X", std::string("a\0b", 3)}}, ""},
         {"GET", "/a b", {}, ""}, {"GET", "/\r\nX: y", {}, ""},
