--- a/src/config.hpp
+++ b/src/config.hpp
@@ -98,6 +98,11 @@
 inline constexpr double max_extra_load_tokens = 1000;
 inline constexpr double retry_share = 0.2;
 inline constexpr double max_retry_tokens = 2000;
+// HTTP clients.
+inline constexpr std::size_t http_read_bytes = 16 * kib;
+inline constexpr std::size_t platform_connections = 8;
+inline constexpr auto target_cancel_timeout = 100ms;
+inline constexpr auto target_status_timeout = 1s;
 
 // Platform.
 inline constexpr auto platform_timeout = 2s;
