Add the peer codec and the peer link

Messages between VMs need a transport that other modules can build on, and a decoder that a damaged message cannot crash.

The codec checks the structure of a CBOR message before nlohmann-json parses it, because that parser recurses for each nested container. The link keeps one connection per peer that this side opened and uses those that peers opened for replies; the hello of a connection names the sender of all its messages, so they carry no sender fields. TLS with mutual authentication is optional and reloads its files for new connections.

--- a/src/config.hpp
+++ b/src/config.hpp
@@ -49,6 +49,17 @@
 inline constexpr std::size_t max_gossip_bytes = 1200;
 inline constexpr std::size_t watchers_per_zone = 2;
 
+// Peer link.
+inline constexpr std::size_t max_peer_message_depth = 32;
+inline constexpr std::size_t max_peer_message_items = 512 * kib;
+inline constexpr std::size_t max_peer_send_queue_bytes = 16 * mib;
+inline constexpr std::size_t max_vm_text_bytes = 64; // id, zone or address
+inline constexpr auto peer_reconnect_min = 50ms;
+inline constexpr auto peer_reconnect_max = 2s;
+inline constexpr auto peer_hello_timeout = 3s;
+inline constexpr auto peer_unacked_timeout = 5s;
+inline constexpr auto peer_close_timeout = 1s;
+
 // Targets.
 inline constexpr auto status_poll_period = 500ms;
 inline constexpr std::size_t slow_reply_window = 8;
--- /dev/null
+++ b/tests/test_peer_link.cpp
@@ -0,0 +1,332 @@
+#include "config.hpp"
+#include "peer_codec.hpp"
+#include "peer_link.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <openssl/evp.h>
+#include <openssl/pem.h>
+#include <openssl/x509v3.h>
+
+#include <condition_variable>
+#include <cstdio>
+#include <deque>
+#include <filesystem>
+#include <memory>
+#include <mutex>
+#include <thread>
+
+using namespace bramleymux;
+using nlohmann::json;
+
+namespace
+{
+
+// Only a limit after which a test gives up; no test expects a duration.
+constexpr auto give_up = std::chrono::seconds(30);
+
+template <class Condition>
+bool
+eventually(Condition condition)
+{
+    const auto end = monotonic_clock::now() + give_up;
+    while (!condition())
+    {
+        if (monotonic_clock::now() > end)
+        {
+            return false;
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(2));
+    }
+    return true;
+}
+
+struct node
+{
+    explicit node(const std::string& id, std::uint64_t incarnation = 1,
+        std::uint16_t port = 0, const tls_files& tls = {})
+        : link({{id, "z1", "127.0.0.1:" + std::to_string(port), incarnation},
+                   "127.0.0.1", port, tls, 1},
+              [this](peer_message message)
+              {
+                  const std::lock_guard lock(mutex);
+                  inbox.push_back(std::move(message));
+              })
+    {
+        started = link.start();
+    }
+
+    std::size_t
+    received()
+    {
+        const std::lock_guard lock(mutex);
+        return inbox.size();
+    }
+
+    bool
+    sends(const vm_identity& to, const json& body)
+    {
+        return link.send(to, {peer_message_type::evidence, "forged", 99, body});
+    }
+
+    bool
+    reaches(const vm_identity& to, const json& body)
+    {
+        return eventually([&] { return sends(to, body); });
+    }
+
+    std::mutex mutex;
+    std::deque<peer_message> inbox;
+    bool started = false;
+    peer_link link; // destroyed first, so that its thread ends before the rest
+};
+
+/// Certificates of one authority, made for the test.
+class authority
+{
+public:
+    explicit authority(const std::string& name)
+        : directory_(std::filesystem::path(BINARY_DIR) / ("tls-" + name)),
+          key_(EVP_EC_gen("P-256"), EVP_PKEY_free),
+          certificate_(make(name, key_.get(), nullptr), X509_free)
+    {
+        std::filesystem::create_directories(directory_);
+        write_certificate(path("ca.pem"), certificate_.get());
+    }
+
+    tls_files
+    issue(const std::string& name, const std::string& signer = "own")
+    {
+        const std::unique_ptr<EVP_PKEY, decltype(&EVP_PKEY_free)> key(
+            EVP_EC_gen("P-256"), EVP_PKEY_free);
+        const std::unique_ptr<X509, decltype(&X509_free)> certificate(
+            make(name, key.get(), signer == "own" ? this : nullptr), X509_free);
+        const tls_files files{
+            path(name + ".pem"), path(name + ".key"), path("ca.pem")};
+        write_certificate(files.certificate_file, certificate.get());
+        FILE* file = std::fopen(files.key_file.c_str(), "w");
+        PEM_write_PrivateKey(
+            file, key.get(), nullptr, nullptr, 0, nullptr, nullptr);
+        std::fclose(file);
+        return files;
+    }
+
+private:
+    std::string
+    path(const std::string& name) const
+    {
+        return (directory_ / name).string();
+    }
+
+    static void
+    write_certificate(const std::string& path, X509* certificate)
+    {
+        FILE* file = std::fopen(path.c_str(), "w");
+        PEM_write_X509(file, certificate);
+        std::fclose(file);
+    }
+
+    /// Self-signed when `issuer` is null.
+    static X509*
+    make(const std::string& name, EVP_PKEY* key, const authority* issuer)
+    {
+        static long serial = 1;
+        X509* out = X509_new();
+        X509_set_version(out, 2);
+        ASN1_INTEGER_set(X509_get_serialNumber(out), ++serial);
+        X509_gmtime_adj(X509_getm_notBefore(out), -3600);
+        X509_gmtime_adj(X509_getm_notAfter(out), 3600);
+        X509_set_pubkey(out, key);
+        X509_NAME* subject = X509_get_subject_name(out);
+        X509_NAME_add_entry_by_txt(subject, "CN", MBSTRING_ASC,
+            reinterpret_cast<const unsigned char*>(name.c_str()), -1, -1, 0);
+        X509_set_issuer_name(
+            out, issuer ? X509_get_subject_name(issuer->certificate_.get())
+                        : subject);
+        X509_EXTENSION* constraint = X509V3_EXT_conf_nid(nullptr, nullptr,
+            NID_basic_constraints, issuer ? "CA:FALSE" : "critical,CA:TRUE");
+        X509_add_ext(out, constraint, -1);
+        X509_EXTENSION_free(constraint);
+        X509_sign(out, issuer ? issuer->key_.get() : key, EVP_sha256());
+        return out;
+    }
+
+    std::filesystem::path directory_;
+    std::unique_ptr<EVP_PKEY, decltype(&EVP_PKEY_free)> key_;
+    std::unique_ptr<X509, decltype(&X509_free)> certificate_;
+};
+
+} // namespace
+
+// Guards against lost or reordered messages and against a forged sender.
+TEST_CASE(
+    "messages arrive in order with the sender of the hello", "[peer_link]")
+{
+    node a("a", 11);
+    node b("b", 12);
+    REQUIRE(a.started);
+    REQUIRE(b.started);
+    REQUIRE(a.reaches(b.link.self(), {{"n", 0}}));
+    for (int n = 1; n < 500; ++n)
+    {
+        REQUIRE(a.sends(b.link.self(), {{"n", n}}));
+    }
+    REQUIRE(eventually([&] { return b.received() == 500; }));
+    for (int n = 0; n < 500; ++n)
+    {
+        CHECK(b.inbox[n].from == "a");
+        CHECK(b.inbox[n].from_incarnation == 11);
+        CHECK(b.inbox[n].body["n"] == n);
+    }
+    const auto type = static_cast<std::size_t>(peer_message_type::evidence);
+    CHECK(a.link.stats().sent[type].messages == 500);
+    CHECK(
+        b.link.stats().received[type].bytes == a.link.stats().sent[type].bytes);
+}
+
+// Guards against replies that need a connection back to the sender.
+TEST_CASE("a reply goes over the incoming connection", "[peer_link]")
+{
+    node a("a");
+    node b("b");
+    REQUIRE(a.reaches(b.link.self(), {{"n", 1}}));
+    REQUIRE(eventually([&] { return b.received() == 1; }));
+    const vm_identity without_address{"a", "z1", "", 0};
+    REQUIRE(b.sends(without_address, {{"n", 2}}));
+    REQUIRE(eventually([&] { return a.received() == 1; }));
+    CHECK(a.inbox[0].from == "b");
+}
+
+// Guards against a send that is reported as failed and still arrives, which
+// would make a "not run" answer false.
+TEST_CASE("a send without a link is dropped", "[peer_link]")
+{
+    node a("a");
+    node b("b");
+    REQUIRE_FALSE(a.sends(b.link.self(), {{"n", "dropped"}}));
+    REQUIRE(a.reaches(b.link.self(), {{"n", "kept"}}));
+    REQUIRE(eventually([&] { return b.received() == 1; }));
+    CHECK(b.inbox[0].body["n"] == "kept");
+    CHECK(a.link.stats().unreachable >= 1);
+}
+
+// Guards against messages for one VM that are handled by another one, which
+// took over its address.
+TEST_CASE("a peer that names another id is refused", "[peer_link]")
+{
+    node a("a");
+    node b("b");
+    const vm_identity wrong{"c", "z1", b.link.self().peer_address, 1};
+    REQUIRE(eventually(
+        [&]
+        {
+            CHECK_FALSE(a.sends(wrong, {{"n", 1}}));
+            return a.link.stats().refused > 0;
+        }));
+    CHECK(b.received() == 0);
+}
+
+// Guards against a link that stays with a dead run of a restarted VM.
+TEST_CASE("a restarted peer is reached again", "[peer_link]")
+{
+    node a("a");
+    auto b = std::make_unique<node>("b", 1);
+    const std::uint16_t port = b->link.port();
+    REQUIRE(a.reaches(b->link.self(), {{"n", 1}}));
+    REQUIRE(eventually([&] { return b->received() == 1; }));
+    b.reset();
+    b = std::make_unique<node>("b", 2, port);
+    REQUIRE(b->started);
+    REQUIRE(a.reaches(b->link.self(), {{"n", 2}}));
+    REQUIRE(eventually([&] { return b->received() == 1; }));
+    // The restarted VM can also reach the other one.
+    REQUIRE(b->reaches(a.link.self(), {{"n", 3}}));
+    REQUIRE(eventually([&] { return a.received() == 1; }));
+    CHECK(a.inbox[0].from_incarnation == 2);
+}
+
+// Guards against messages to a link of an earlier run than the one meant.
+TEST_CASE("a link to an earlier incarnation is not used", "[peer_link]")
+{
+    node a("a");
+    node b("b", 5);
+    REQUIRE(a.reaches(b.link.self(), {{"n", 1}}));
+    vm_identity later = b.link.self();
+    later.incarnation = 6;
+    CHECK_FALSE(a.sends(later, {{"n", 2}}));
+    REQUIRE(a.reaches(b.link.self(), {{"n", 3}}));
+    REQUIRE(eventually([&] { return b.received() == 2; }));
+    CHECK(b.inbox[1].body["n"] == 3);
+}
+
+// Guards against memory that grows without bound when a peer stops reading.
+TEST_CASE("the send queue of a peer is bounded", "[peer_link]")
+{
+    node a("a");
+    std::mutex gate;
+    std::unique_lock closed(gate);
+    peer_link slow({{"slow", "z1", "127.0.0.1:0", 1}, "127.0.0.1", 0, {}, 1},
+        [&gate](const peer_message&) { const std::lock_guard wait(gate); });
+    REQUIRE(slow.start());
+    const json body{{"text", std::string(config::mib, 'x')}};
+    REQUIRE(a.reaches(slow.self(), body));
+    bool dropped = false;
+    for (int i = 0; i < 1000 && !dropped; ++i)
+    {
+        dropped = !a.sends(slow.self(), body);
+    }
+    CHECK(dropped);
+    CHECK(a.link.stats().overflowed > 0);
+    closed.unlock();
+}
+
+// Guards against a bind failure or unreadable certificates that go unnoticed.
+TEST_CASE("a link that cannot start says so", "[peer_link]")
+{
+    node a("a");
+    node second("b", 1, a.link.port());
+    CHECK_FALSE(second.started);
+    node unreadable(
+        "c", 1, 0, {"/nonexistent", "/nonexistent", "/nonexistent"});
+    CHECK_FALSE(unreadable.started);
+}
+
+// Guards against unauthenticated peers, and against new certificates that are
+// only read after a restart.
+TEST_CASE("TLS authenticates both sides and reloads", "[peer_link]")
+{
+    authority ours("ours");
+    authority other("other");
+    const tls_files a_files = ours.issue("a");
+    node a("a", 1, 0, a_files);
+    node b("b", 1, 0, ours.issue("b"));
+    REQUIRE(a.reaches(b.link.self(), {{"n", 1}}));
+    REQUIRE(eventually([&] { return b.received() == 1; }));
+
+    tls_files stranger_files = other.issue("stranger");
+    stranger_files.ca_file = a_files.ca_file; // trusts ours, is not trusted
+    node stranger("stranger", 1, 0, stranger_files);
+    node plain("plain");
+    for (int i = 0; i < 20; ++i)
+    {
+        CHECK_FALSE(stranger.sends(b.link.self(), {{"n", 2}}));
+        CHECK_FALSE(plain.sends(b.link.self(), {{"n", 2}}));
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+    CHECK(b.received() == 1);
+
+    // The stranger gets a certificate of the accepted authority.
+    const tls_files renewed = ours.issue("stranger");
+    std::filesystem::copy_file(renewed.certificate_file,
+        stranger_files.certificate_file,
+        std::filesystem::copy_options::overwrite_existing);
+    std::filesystem::copy_file(renewed.key_file, stranger_files.key_file,
+        std::filesystem::copy_options::overwrite_existing);
+    REQUIRE(stranger.link.reload_tls());
+    REQUIRE(stranger.reaches(b.link.self(), {{"n", 3}}));
+    REQUIRE(eventually([&] { return b.received() == 2; }));
+
+    // Unreadable files leave the earlier certificates in use.
+    std::filesystem::remove(stranger_files.key_file);
+    CHECK_FALSE(stranger.link.reload_tls());
+}
