--- a/src/catalog.cpp
+++ b/src/catalog.cpp
@@ -78,50 +78,55 @@
     }
 }
 
+/// Adds rows that belong to a service; `fill(entry, row, service)` copies the
+/// row's own fields.
+template <class Entry, class Row, class Fill>
 void
-add_routes(catalog& c, const table& value, name_registries& names)
+add_service_rows(catalog& c, const std::vector<Row>& rows,
+    std::vector<Entry>& entries, name_registry& entry_names, const char* kind,
+    name_registries& names, Fill&& fill)
 {
-    for (const route_row& row : value.routes)
+    for (const Row& row : rows)
     {
         catalog_service* service =
             at(c.services, names.services.find(row.service));
-        catalog_route* route =
-            service == nullptr
-                ? nullptr
-                : place_entry(c.routes, names.routes,
-                      under(row.service, row.name), "route", c.unregistered);
-        if (route != nullptr)
+        Entry* entry = service == nullptr ? nullptr
+                                          : place_entry(entries, entry_names,
+                                                under(row.service, row.name),
+                                                kind, c.unregistered);
+        if (entry != nullptr)
         {
-            route->service = service->self;
-            route->name = row.name;
-            route->worth = service->worth * row.worth;
-            route->idempotent = row.idempotent;
-            service->routes.push_back(route->self);
+            entry->service = service->self;
+            entry->name = row.name;
+            fill(*entry, row, *service);
         }
     }
 }
 
+void
+add_routes(catalog& c, const table& value, name_registries& names)
+{
+    add_service_rows(c, value.routes, c.routes, names.routes, "route", names,
+        [](catalog_route& route, const route_row& row, catalog_service& service)
+        {
+            route.worth = service.worth * row.worth;
+            route.idempotent = row.idempotent;
+            service.routes.push_back(route.self);
+        });
+}
+
 void
 add_versions(catalog& c, const table& value, name_registries& names)
 {
-    for (const version_row& row : value.versions)
-    {
-        catalog_service* service =
-            at(c.services, names.services.find(row.service));
-        catalog_version* version =
-            service == nullptr
-                ? nullptr
-                : place_entry(c.versions, names.versions,
-                      under(row.service, row.name), "version", c.unregistered);
-        if (version != nullptr)
+    add_service_rows(c, value.versions, c.versions, names.versions, "version",
+        names,
+        [](catalog_version& version, const version_row& row,
+            catalog_service& service)
         {
-            version->service = service->self;
-            version->name = row.name;
-            version->weight = row.weight;
-            version->max_share = row.max_share;
-            service->versions.push_back(version->self);
-        }
-    }
+            version.weight = row.weight;
+            version.max_share = row.max_share;
+            service.versions.push_back(version.self);
+        });
 }
 
 using searcher_index = std::unordered_map<std::string, const searcher_row*>;
--- a/src/config.hpp
+++ b/src/config.hpp
@@ -34,6 +34,7 @@
 inline constexpr std::size_t max_peer_message_bytes = 8 * mib;
 inline constexpr std::size_t max_table_bytes = mib;
 inline constexpr std::size_t max_edit_records = 256;
+inline constexpr std::size_t max_edit_attempts = 16;
 inline constexpr std::size_t max_name_bytes = 64;
 inline constexpr std::size_t max_cause_bytes = 512;
 inline constexpr std::uint32_t max_slots_per_target = 1024;
--- a/src/table.cpp
+++ b/src/table.cpp
@@ -41,6 +41,12 @@
     return fits ? (value.get_to(out), true) : false;
 }
 
+bool
+read_value(const json& value, std::uint64_t& out)
+{
+    return value.is_number_unsigned() ? (value.get_to(out), true) : false;
+}
+
 bool
 read_value(const json& value, std::uint32_t& out)
 {
@@ -126,6 +132,12 @@
     return "must be a 64-bit integer";
 }
 
+const char*
+expected_form(std::uint64_t)
+{
+    return "must be an integer of at least 0";
+}
+
 const char*
 expected_form(const std::optional<std::uint32_t>&)
 {
--- a/src/table.hpp
+++ b/src/table.hpp
@@ -118,7 +118,9 @@
     std::string id;
     std::string author;
     std::int64_t at_ms = 0;
-    std::vector<std::string> rows; ///< "kind/key" of the rows it changed
+    std::uint64_t base_version = 0; ///< table version that it replaced
+    std::string fingerprint;        ///< hash of its changes
+    std::vector<std::string> rows;  ///< "kind/key" of the rows it changed
 };
 
 struct table
--- a/src/table_fields.hpp
+++ b/src/table_fields.hpp
@@ -111,6 +111,8 @@
     return std::make_tuple(required("id", &edit_record::id),
         optional_field("author", &edit_record::author),
         optional_field("at_ms", &edit_record::at_ms),
+        optional_field("base_version", &edit_record::base_version),
+        optional_field("fingerprint", &edit_record::fingerprint),
         optional_field("rows", &edit_record::rows));
 }
 
--- a/src/table_validate.cpp
+++ b/src/table_validate.cpp
@@ -80,6 +80,33 @@
     return place;
 }
 
+void
+check_reference(validation& v, const std::string& place, const char* field,
+    const std::set<std::string>& known, const std::string& key)
+{
+    if (known.count(key) == 0)
+    {
+        add(v, place, field,
+            "unknown " +
+                std::string(field == std::string_view("from") ||
+                                    field == std::string_view("to")
+                                ? "version"
+                                : field) +
+                " \"" + key + "\"");
+    }
+}
+
+/// Checks the key of a row that belongs to a service; returns its place.
+template <class Row>
+std::string
+check_service_row(validation& v, row_kind kind, const Row& row)
+{
+    std::string place = row_place(v, kind, under(row.service, row.name));
+    check_name(v, place, row.name);
+    check_reference(v, place, "service", v.services, row.service);
+    return place;
+}
+
 void
 check_not_negative(
     validation& v, const std::string& place, const char* field, double value)
@@ -112,22 +139,6 @@
     }
 }
 
-void
-check_reference(validation& v, const std::string& place, const char* field,
-    const std::set<std::string>& known, const std::string& key)
-{
-    if (known.count(key) == 0)
-    {
-        add(v, place, field,
-            "unknown " +
-                std::string(field == std::string_view("from") ||
-                                    field == std::string_view("to")
-                                ? "version"
-                                : field) +
-                " \"" + key + "\"");
-    }
-}
-
 void
 check_count(validation& v, row_kind kind, std::size_t size, std::size_t limit)
 {
@@ -179,10 +190,7 @@
     check_count(v, row_kind::route, t.routes.size(), config::max_routes);
     for (const route_row& row : t.routes)
     {
-        const std::string place =
-            row_place(v, row_kind::route, under(row.service, row.name));
-        check_name(v, place, row.name);
-        check_reference(v, place, "service", v.services, row.service);
+        const std::string place = check_service_row(v, row_kind::route, row);
         check_not_negative(v, place, "worth", row.worth);
     }
 }
@@ -193,10 +201,7 @@
     check_count(v, row_kind::searcher, t.searchers.size(), config::max_targets);
     for (const searcher_row& row : t.searchers)
     {
-        const std::string place =
-            row_place(v, row_kind::searcher, under(row.service, row.name));
-        check_name(v, place, row.name);
-        check_reference(v, place, "service", v.services, row.service);
+        const std::string place = check_service_row(v, row_kind::searcher, row);
         check_range(
             v, place, "slots", row.slots, 1, config::max_slots_per_target);
         check_range(v, place, "connections", row.connections, 1,
@@ -218,10 +223,7 @@
     check_count(v, row_kind::version, t.versions.size(), config::max_versions);
     for (const version_row& row : t.versions)
     {
-        const std::string place =
-            row_place(v, row_kind::version, under(row.service, row.name));
-        check_name(v, place, row.name);
-        check_reference(v, place, "service", v.services, row.service);
+        const std::string place = check_service_row(v, row_kind::version, row);
         check_not_negative(v, place, "weight", row.weight);
         check_share(v, place, "max_share", row.max_share);
     }
--- a/tests/test_table.cpp
+++ b/tests/test_table.cpp
@@ -41,7 +41,7 @@
     t.targets[0].draining = true;
     t.moves[0].cause = "errors";
     t.moves[0].state = move_state::withdrawn;
-    t.edits.push_back({"e1", "ana", 5, {"target/exam-1-a"}});
+    t.edits.push_back({"e1", "ana", 5, 6, "f", {"target/exam-1-a"}});
     const table again = parse_table(to_json(t), 7, found);
     CHECK(found.empty());
     CHECK(to_json(again) == to_json(t));
@@ -145,7 +145,7 @@
         t.zones.push_back({"extra" + std::to_string(i), "", 1.0, false});
     }
     t.edits.push_back(
-        {"big", std::string(config::max_table_bytes, 'a'), 0, {}});
+        {"big", std::string(config::max_table_bytes, 'a'), 0, 0, "", {}});
     CHECK(has(validate(t), "zones"));
     CHECK(has(validate(t), "table"));
 }
