--- a/src/config.hpp
+++ b/src/config.hpp
@@ -33,6 +33,13 @@
 inline constexpr std::size_t max_reply_body_bytes = 4 * mib;
 inline constexpr std::size_t max_peer_message_bytes = 8 * mib;
 inline constexpr std::size_t max_table_bytes = mib;
+inline constexpr std::size_t max_edit_records = 256;
+inline constexpr std::size_t max_edit_attempts = 16;
+inline constexpr std::size_t max_name_bytes = 64;
+inline constexpr std::size_t max_cause_bytes = 512;
+inline constexpr std::uint32_t max_slots_per_target = 1024;
+inline constexpr std::uint32_t max_connections_per_target = 1024;
+inline constexpr std::uint32_t max_connect_cost_ms = 10'000;
 
 inline constexpr auto default_deadline = 1000ms;
 inline constexpr auto max_deadline = 30s;
@@ -62,6 +69,17 @@
 inline constexpr std::size_t max_gossip_bytes = 1200;
 inline constexpr std::size_t watchers_per_zone = 2;
 
+// Peer link.
+inline constexpr std::size_t max_peer_message_depth = 32;
+inline constexpr std::size_t max_peer_message_items = 512 * kib;
+inline constexpr std::size_t max_peer_send_queue_bytes = 16 * mib;
+inline constexpr std::size_t max_vm_text_bytes = 64; // id, zone or address
+inline constexpr auto peer_reconnect_min = 50ms;
+inline constexpr auto peer_reconnect_max = 2s;
+inline constexpr auto peer_hello_timeout = 3s;
+inline constexpr auto peer_unacked_timeout = 5s;
+inline constexpr auto peer_close_timeout = 1s;
+
 // Targets.
 inline constexpr auto status_poll_period = 500ms;
 inline constexpr std::size_t slow_reply_window = 8;
@@ -85,9 +103,62 @@
 inline constexpr double hedge_quantile = 0.97;
 inline constexpr auto shed_penalty = 10s;
 
+// Routing.
+inline constexpr std::size_t max_snapshots_per_service = 16;
+inline constexpr std::size_t max_candidates = 64; // replicas compared per shard
+// A target that the query already uses is kept up to this multiple of the load
+// of another replica, to keep the number of batches small.
+inline constexpr double batch_reuse_factor = 1.5;
+inline constexpr auto overload_block_base = 5ms;
+inline constexpr auto overload_block_cap = 200ms;
+inline constexpr auto failure_block_base = 50ms;
+inline constexpr auto failure_block_cap = 1s;
+
+// Latency sketch: 96 buckets that grow by 15% cover 50 us to 33 s.
+inline constexpr std::size_t latency_buckets = 96;
+inline constexpr double latency_bucket_growth = 1.15;
+inline constexpr auto latency_first_bucket = 50us;
+inline constexpr auto latency_half_life = 30s;
+inline constexpr auto latency_decay_step = 1s;
+inline constexpr double latency_mean_gain = 0.2; // weight of a new sample
+// A slow target is tried again once its mean has decayed; 50x takes 28 s.
+inline constexpr auto latency_mean_half_life = 5s;
+
+// Hedges.
+inline constexpr auto initial_hedge_delay = 50ms;
+inline constexpr auto min_hedge_delay = 1ms;
+inline constexpr double min_hedge_samples = 50;
+
+// Budgets in shards. Retries after a refusal cause no execution, so their
+// budget is larger than the one for extra load.
+inline constexpr double max_extra_load_tokens = 1000;
+inline constexpr double retry_share = 0.2;
+inline constexpr double max_retry_tokens = 2000;
+// HTTP clients.
+inline constexpr std::size_t http_read_bytes = 16 * kib;
+inline constexpr std::size_t platform_connections = 8;
+inline constexpr auto target_cancel_timeout = 100ms;
+inline constexpr auto target_status_timeout = 1s;
+
 // Platform.
 inline constexpr auto platform_timeout = 2s;
 inline constexpr auto idempotency_expiry = 24h;
 inline constexpr auto controller_lease = 5s;
 
+// A forwarded sub-request without a reply is dropped this long after its
+// deadline.
+inline constexpr auto forwarded_grace = 5s;
+
+// Entry VM. Time kept back from a caller's deadline for the merge and the
+// way back of the answer.
+inline constexpr auto entry_hop_cost = 2ms;
+inline constexpr std::size_t max_attempts_per_shard = 4;
+inline constexpr std::size_t max_snapshot_restarts = 2;
+inline constexpr auto retry_delay_base = 5ms;
+inline constexpr auto retry_delay_cap = 100ms;
+
+// Traces.
+inline constexpr std::size_t max_pending_spans = 4096;
+inline constexpr auto span_export_period = 1s;
+
 } // namespace bramleymux::config
--- a/src/table.hpp
+++ b/src/table.hpp
@@ -118,7 +118,9 @@
     std::string id;
     std::string author;
     std::int64_t at_ms = 0;
-    std::vector<std::string> rows; ///< "kind/key" of the rows it changed
+    std::uint64_t base_version = 0; ///< table version that it replaced
+    std::string fingerprint;        ///< hash of its changes
+    std::vector<std::string> rows;  ///< "kind/key" of the rows it changed
 };
 
 struct table
@@ -150,4 +152,13 @@
 std::string
 row_key(row_kind kind, const nlohmann::json& row);
 
+/// Name of the array that holds the rows of a kind, for example "zones".
+std::string
+array_name(row_kind kind);
+
+/// Splits "IP:port" (IPv4, or IPv6 in brackets); false when it is malformed.
+bool
+split_address(
+    const std::string& address, std::string& host, std::uint16_t& port);
+
 } // namespace bramleymux
