--- a/src/caller_request.hpp
+++ b/src/caller_request.hpp
@@ -27,7 +27,7 @@
     std::string idempotency_key;
     trace_context trace;
     std::string parent_span_id; ///< of the caller's traceparent
-    std::uint64_t turn = 0; ///< number of the request at this VM
+    std::uint64_t turn = 0;     ///< number of the request at this VM
     nlohmann::json query;
 };
 
--- a/src/target_executor.cpp
+++ b/src/target_executor.cpp
@@ -58,7 +58,7 @@
 }
 
 void
-target_executor::set_catalog(std::shared_ptr<const catalog> value)
+target_executor::set_catalog(const std::shared_ptr<const catalog>& value)
 {
     {
         const std::lock_guard<std::mutex> lock(catalog_mutex_);
@@ -413,7 +413,7 @@
 
 /// Calls the handlers and posts the starts; no lock is held.
 void
-target_executor::carry_out(state_shard& shard, pending_work work)
+target_executor::carry_out(state_shard& shard, pending_work&& work)
 {
     for (const std::uint64_t id : work.starts)
     {
--- a/src/target_executor.hpp
+++ b/src/target_executor.hpp
@@ -71,7 +71,7 @@
     ~target_executor() override;
 
     void
-    set_catalog(std::shared_ptr<const catalog> value);
+    set_catalog(const std::shared_ptr<const catalog>& value);
 
     /// Handles of the targets that the VM list calls leaving.
     void
@@ -164,7 +164,7 @@
     pump(state_shard& shard, const std::string& name, std::uint16_t target,
         monotonic_time now, pending_work& out);
     void
-    carry_out(state_shard& shard, pending_work work);
+    carry_out(state_shard& shard, pending_work&& work);
     void
     run(state_shard& shard, std::uint64_t id);
     bool
--- a/tests/test_ownership.cpp
+++ b/tests/test_ownership.cpp
@@ -173,7 +173,7 @@
         apply(n, n.state->set_view(members, now));
         for (const node& other : nodes)
         {
-            if (runs(other) && !other.leaving && chance(0.1))
+            if (runs(other) && !other.leaving && chance(0.3))
             {
                 n.last_seen[other.self.id] = now;
             }
@@ -268,6 +268,10 @@
         {
             start(n.self.id);
         }
+        else if (chance(0.2))
+        {
+            n.last_seen.clear(); // a false suspicion of every other VM
+        }
         else if (chance(0.4))
         {
             n.paused_until = now + pick(100ms, 9s);
