--- a/src/ownership.cpp
+++ b/src/ownership.cpp
@@ -171,7 +171,12 @@
         peer.pending.reset();
     }
     note_running(peer, release.number, release.running, now);
-    if (release.leaving)
+    if (!release.leaving)
+    {
+        // Two VMs that drop each other at once must not both go on alone.
+        note_heard(peer, release.number, release.members, now);
+    }
+    else
     {
         peer.left = true;
         peer.known_until = now + config::settle_time;
@@ -197,7 +202,7 @@
         if (left_)
         {
             last_request_ = now;
-            send_releases(out, number_, false);
+            send_releases(out, number_);
         }
         else
         {
@@ -219,7 +224,7 @@
     sent_.clear();
     out.view_changed = true;
     last_request_ = now;
-    send_releases(out, number_, false);
+    send_releases(out, number_);
     return out;
 }
 
@@ -228,7 +233,10 @@
 {
     note_time(now);
     ownership_actions out;
-    send_releases(out, left_ ? number_ : 0, !left_);
+    if (ready_)
+    {
+        send_releases(out, left_ ? number_ : 0);
+    }
     return out;
 }
 
@@ -393,9 +401,9 @@
 ownership_state::adopt(
     std::vector<vm_ref> members, ownership_actions& out, monotonic_time now)
 {
-    send_releases(out, number_, true);
     members_ = std::move(members);
     view_ = hash_view(members_);
+    send_releases(out, number_);
     sent_.clear();
     for (auto& [vm, peer] : peers_)
     {
@@ -427,16 +435,13 @@
 }
 
 void
-ownership_state::send_releases(
-    ownership_actions& out, std::uint64_t up_to, bool members_only)
+ownership_state::send_releases(ownership_actions& out, std::uint64_t up_to)
 {
     ++number_;
     for (const auto& [vm, peer] : peers_)
     {
-        if (!members_only || is_member(vm))
-        {
-            out.releases.push_back({self_, vm, number_, up_to, left_, {}});
-        }
+        out.releases.push_back(
+            {self_, vm, number_, up_to, left_, members_, {}});
     }
 }
 
--- a/src/ownership.hpp
+++ b/src/ownership.hpp
@@ -85,6 +85,7 @@
     std::uint64_t number = 0; ///< of the sender
     std::uint64_t up_to = 0;  ///< 0: only an update of running work
     bool leaving = false;
+    std::vector<vm_ref> members;        ///< of the sender's view from now on
     std::vector<running_count> running; ///< filled in by the caller
 };
 
@@ -204,8 +205,7 @@
     void
     send_requests(ownership_actions& out, monotonic_time now);
     void
-    send_releases(
-        ownership_actions& out, std::uint64_t up_to, bool members_only);
+    send_releases(ownership_actions& out, std::uint64_t up_to);
     void
     grant_pending(ownership_actions& out, monotonic_time now);
     view_ack
--- a/tests/test_ownership.cpp
+++ b/tests/test_ownership.cpp
@@ -438,7 +438,7 @@
     CHECK(state.lease_end(now + 1500ms) ==
           now + 500ms + config::view_lease - config::lease_margin);
     CHECK(state.foreign_running("t", now + 1500ms) == 1);
-    state.on_view_release({b, a, 3, 0, false, {}}, now + 1600ms);
+    state.on_view_release({b, a, 3, 0, false, {a, b}, {}}, now + 1600ms);
     CHECK(state.foreign_running("t", now + 1600ms) == 0);
 }
 
