--- a/src/config.hpp
+++ b/src/config.hpp
@@ -64,21 +64,19 @@
 // Routing.
 inline constexpr std::size_t max_snapshots_per_service = 16;
 inline constexpr std::size_t max_candidates = 64; // replicas compared per shard
-// A target that the query already uses is kept up to this multiple of the load
-// of another replica, to keep the number of batches small.
-inline constexpr double batch_reuse_factor = 1.5;
 inline constexpr auto overload_block_base = 5ms;
 inline constexpr auto overload_block_cap = 200ms;
 inline constexpr auto failure_block_base = 50ms;
 inline constexpr auto failure_block_cap = 1s;
 
-// Latency sketch: 96 buckets that grow by 15% cover 50 us to 33 s.
-inline constexpr std::size_t latency_buckets = 96;
+// Latency sketch: 97 buckets that grow by 15% cover 50 us to 33 s, which is
+// above `max_deadline`.
+inline constexpr std::size_t latency_buckets = 97;
 inline constexpr double latency_bucket_growth = 1.15;
 inline constexpr auto latency_first_bucket = 50us;
 inline constexpr auto latency_half_life = 30s;
 inline constexpr auto latency_decay_step = 1s;
-inline constexpr double latency_mean_gain = 0.2; // weight of a new sample
+inline constexpr double latency_mean_gain = 0.1; // weight of a new sample
 // A slow target is tried again once its mean has decayed; 50x takes 28 s.
 inline constexpr auto latency_mean_half_life = 5s;
 
--- a/src/routing.cpp
+++ b/src/routing.cpp
@@ -290,7 +290,8 @@
         monotonic_time now, std::mt19937_64& random)
         : index_(index), snapshot_(snapshot), request_(request), views_(views),
           now_(now), random_(random),
-          batch_of_group_(snapshot.groups.size(), unplanned)
+          batch_of_group_(snapshot.groups.size(), unplanned),
+          batch_of_target_(views.size(), unplaced)
     {
     }
 
@@ -374,8 +375,7 @@
         }
         const bool by_latency = is_measured(reused) && is_measured(fresh);
         return load_of(view(reused), true, by_latency) <=
-                       config::batch_reuse_factor *
-                           load_of(view(fresh), false, by_latency)
+                       load_of(view(fresh), false, by_latency)
                    ? reused
                    : fresh;
     }
@@ -407,26 +407,19 @@
     int
     find_batch(target_handle target) const
     {
-        for (std::size_t i = 0; i < plan_.batches.size(); ++i)
-        {
-            if (plan_.batches[i].target == target)
-            {
-                return static_cast<int>(i);
-            }
-        }
-        return unplaced;
+        return batch_of_target_[target.index];
     }
 
     int
     batch_of(target_handle target)
     {
-        const int found = find_batch(target);
-        if (found >= 0)
+        auto& batch = batch_of_target_[target.index];
+        if (batch == unplaced)
         {
-            return found;
+            batch = static_cast<int>(plan_.batches.size());
+            plan_.batches.push_back({target, {}});
         }
-        plan_.batches.push_back({target, {}});
-        return static_cast<int>(plan_.batches.size()) - 1;
+        return batch;
     }
 
     const routing_index& index_;
@@ -437,6 +430,7 @@
     std::mt19937_64& random_;
     query_plan plan_;
     std::vector<int> batch_of_group_;
+    std::vector<int> batch_of_target_;
 };
 
 } // namespace
