Add SWIM membership and table distribution

Membership probes one random member and its zone's neighbours in each period. What is said of a VM is ordered by its incarnation and a refutation number, an accusation starts a suspicion and never removes at once, and a hash of the live set on each probe starts a synchronization when two VMs differ. Distribution offers a new version, and the receivers request it.

--- a/src/config.hpp
+++ b/src/config.hpp
@@ -48,6 +48,28 @@
 inline constexpr std::size_t indirect_probes = 2;
 inline constexpr std::size_t max_gossip_bytes = 1200;
 inline constexpr std::size_t watchers_per_zone = 2;
+inline constexpr std::size_t max_zone_probes = 8;   // per probe period
+inline constexpr std::size_t max_hint_probes = 8;   // per probe period
+inline constexpr std::size_t max_urgent_probes = 8; // per probe period
+inline constexpr std::size_t max_probe_relays = 64;
+inline constexpr std::size_t max_leave_messages = 16;
+inline constexpr std::size_t max_digest_counter_bytes = 128;
+inline constexpr auto hint_retry_max = 10s;
+inline constexpr auto dead_retry_period = 2s;
+inline constexpr auto contradiction_period = 5s;
+inline constexpr auto forget_dead_after = 1h;
+// A gap between two ticks above this limit means that this VM was paused.
+inline constexpr auto membership_pause = 1s;
+// Transmissions of one update: the factor times ceil(log10(members + 1)).
+inline constexpr std::size_t state_retransmit_factor = 4;
+inline constexpr std::size_t digest_retransmit_factor = 2;
+
+// Table distribution.
+inline constexpr std::size_t max_watchers_per_zone = 8;
+inline constexpr std::size_t relays_per_zone = 2;
+inline constexpr std::size_t max_table_offers = 6; // to one VM
+inline constexpr auto table_offer_period = 250ms;
+inline constexpr auto table_request_timeout = 500ms;
 
 // Peer link.
 inline constexpr std::size_t max_peer_message_depth = 32;
