--- a/src/config.hpp
+++ b/src/config.hpp
@@ -138,6 +138,29 @@
 inline constexpr auto target_cancel_timeout = 100ms;
 inline constexpr auto target_status_timeout = 1s;
 
+// Admission. One window holds enough replies to judge, and is short against
+// the deadlines.
+inline constexpr auto admission_window = 100ms;
+inline constexpr std::size_t min_admission_samples = 20; // sub-replies
+inline constexpr std::size_t max_admission_windows = 10; // until it is judged
+inline constexpr double max_refused_share = 0.05;        // of sub-replies
+inline constexpr double max_queue_ratio = 1.0;     // queue time / target time
+inline constexpr double limit_decrease = 0.85;     // factor in a window
+inline constexpr double limit_increase = 0.03;     // of the limit, in a window
+inline constexpr double min_limit_increase = 0.25; // queries, in a window
+// Routes above the threshold may exceed the limit for a moment, since a VM's
+// limit can be as low as a few queries.
+inline constexpr double burst_factor = 1.5;     // of the limit
+inline constexpr double burst_queries = 2;      // in addition
+inline constexpr double admission_gain = 0.3;   // weight of a new window
+inline constexpr double route_time_gain = 0.05; // weight of a new query
+inline constexpr auto initial_route_time = 20ms;
+// Threads kept for refusals; services below their floor may use some of them.
+inline constexpr std::size_t reserved_caller_threads = 8;
+inline constexpr std::size_t refusal_threads = 2;
+// Sum of the floors of services whose row sets none.
+inline constexpr double default_floor_total = 0.05;
+
 // Platform.
 inline constexpr auto platform_timeout = 2s;
 inline constexpr auto idempotency_expiry = 24h;
