--- a/src/config.hpp
+++ b/src/config.hpp
@@ -68,6 +68,28 @@
 inline constexpr std::size_t indirect_probes = 2;
 inline constexpr std::size_t max_gossip_bytes = 1200;
 inline constexpr std::size_t watchers_per_zone = 2;
+inline constexpr std::size_t max_zone_probes = 8;   // per probe period
+inline constexpr std::size_t max_hint_probes = 8;   // per probe period
+inline constexpr std::size_t max_urgent_probes = 8; // per probe period
+inline constexpr std::size_t max_probe_relays = 64;
+inline constexpr std::size_t max_leave_messages = 16;
+inline constexpr std::size_t max_digest_counter_bytes = 128;
+inline constexpr auto hint_retry_max = 10s;
+inline constexpr auto dead_retry_period = 2s;
+inline constexpr auto contradiction_period = 5s;
+inline constexpr auto forget_dead_after = 1h;
+// A gap between two ticks above this limit means that this VM was paused.
+inline constexpr auto membership_pause = 1s;
+// Transmissions of one update: the factor times ceil(log10(members + 1)).
+inline constexpr std::size_t state_retransmit_factor = 4;
+inline constexpr std::size_t digest_retransmit_factor = 2;
+
+// Table distribution.
+inline constexpr std::size_t max_watchers_per_zone = 8;
+inline constexpr std::size_t relays_per_zone = 2;
+inline constexpr std::size_t max_table_offers = 6; // to one VM
+inline constexpr auto table_offer_period = 250ms;
+inline constexpr auto table_request_timeout = 500ms;
 
 // Peer link.
 inline constexpr std::size_t max_peer_message_depth = 32;
@@ -106,21 +128,19 @@
 // Routing.
 inline constexpr std::size_t max_snapshots_per_service = 16;
 inline constexpr std::size_t max_candidates = 64; // replicas compared per shard
-// A target that the query already uses is kept up to this multiple of the load
-// of another replica, to keep the number of batches small.
-inline constexpr double batch_reuse_factor = 1.5;
 inline constexpr auto overload_block_base = 5ms;
 inline constexpr auto overload_block_cap = 200ms;
 inline constexpr auto failure_block_base = 50ms;
 inline constexpr auto failure_block_cap = 1s;
 
-// Latency sketch: 96 buckets that grow by 15% cover 50 us to 33 s.
-inline constexpr std::size_t latency_buckets = 96;
+// Latency sketch: 97 buckets that grow by 15% cover 50 us to 33 s, which is
+// above `max_deadline`.
+inline constexpr std::size_t latency_buckets = 97;
 inline constexpr double latency_bucket_growth = 1.15;
 inline constexpr auto latency_first_bucket = 50us;
 inline constexpr auto latency_half_life = 30s;
 inline constexpr auto latency_decay_step = 1s;
-inline constexpr double latency_mean_gain = 0.2; // weight of a new sample
+inline constexpr double latency_mean_gain = 0.1; // weight of a new sample
 // A slow target is tried again once its mean has decayed; 50x takes 28 s.
 inline constexpr auto latency_mean_half_life = 5s;
 
@@ -140,6 +160,29 @@
 inline constexpr auto target_cancel_timeout = 100ms;
 inline constexpr auto target_status_timeout = 1s;
 
+// Admission. One window holds enough replies to judge, and is short against
+// the deadlines.
+inline constexpr auto admission_window = 100ms;
+inline constexpr std::size_t min_admission_samples = 20; // sub-replies
+inline constexpr std::size_t max_admission_windows = 10; // until it is judged
+inline constexpr double max_refused_share = 0.05;        // of sub-replies
+inline constexpr double max_queue_ratio = 1.0;     // queue time / target time
+inline constexpr double limit_decrease = 0.85;     // factor in a window
+inline constexpr double limit_increase = 0.03;     // of the limit, in a window
+inline constexpr double min_limit_increase = 0.25; // queries, in a window
+// Routes above the threshold may exceed the limit for a moment, since a VM's
+// limit can be as low as a few queries.
+inline constexpr double burst_factor = 1.5;     // of the limit
+inline constexpr double burst_queries = 2;      // in addition
+inline constexpr double admission_gain = 0.3;   // weight of a new window
+inline constexpr double route_time_gain = 0.05; // weight of a new query
+inline constexpr auto initial_route_time = 20ms;
+// Threads kept for refusals; services below their floor may use some of them.
+inline constexpr std::size_t reserved_caller_threads = 8;
+inline constexpr std::size_t refusal_threads = 2;
+// Sum of the floors of services whose row sets none.
+inline constexpr double default_floor_total = 0.05;
+
 // Platform.
 inline constexpr auto platform_timeout = 2s;
 inline constexpr auto idempotency_expiry = 24h;
