--- /dev/null
+++ b/src/admin_server.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "fleet_controller.hpp"
+#include "http_server.hpp"
+#include "metrics.hpp"
+#include "platform.hpp"
+#include "report_controller.hpp"
+#include "table_controller.hpp"
+
+#include <functional>
+#include <string>
+
+/// The operators' HTTP API on its own address.
+namespace bramleymux
+{
+
+struct admin_parts
+{
+    blackboard& board;
+    platform_api& platform;
+    fleet_controller& fleet;
+    report_controller& reports;
+    target_executor& executor;
+    metrics& counters;
+    std::string vm_id;
+    /// State of the moves, for operators.
+    std::function<nlohmann::json()> moves;
+};
+
+class admin_server
+{
+public:
+    /// Without a token file, requests need no token.
+    admin_server(admin_parts parts, std::string token_file);
+
+    server_response
+    handle(const server_request& request);
+
+private:
+    bool
+    is_authorized(const server_request& request) const;
+    server_response
+    get_status() const;
+    server_response
+    get_table() const;
+    server_response
+    get_in_force(const server_request& request) const;
+    server_response
+    post_edit(const server_request& request);
+    server_response
+    get_edit(const std::string& id);
+
+    admin_parts parts_;
+    std::string token_file_;
+};
+
+} // namespace bramleymux
--- /dev/null
+++ b/src/caller_server.hpp
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "admission_gate.hpp"
+#include "http_server.hpp"
+#include "query.hpp"
+#include "settings.hpp"
+
+#include <atomic>
+#include <condition_variable>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+
+/// The callers' HTTP API: queries, liveness and readiness.
+namespace bramleymux
+{
+
+/// Runs a non-idempotent request; injected so that the server needs no
+/// platform.
+using write_runner = std::function<query_result(const caller_request&)>;
+
+class caller_server
+{
+public:
+    caller_server(const settings& values, std::string vm_id,
+        std::uint64_t incarnation, query_context context, admission_gate& gate,
+        write_runner write);
+
+    /// Answers one request; also used without a socket by tests.
+    server_response
+    handle(const server_request& request);
+
+    /// Readiness fails from now on; requests are still served.
+    void
+    fail_readiness();
+
+    /// New requests are refused as not_run; waits until running ones ended.
+    /// False when some still run at `until`.
+    bool
+    drain(monotonic_time until);
+
+    /// Ready once there is a table and a route to targets.
+    bool
+    is_ready() const;
+
+private:
+    server_response
+    handle_query(const server_request& request, const std::string& service,
+        const std::string& route);
+    query_result
+    run(caller_request& request);
+    query_result
+    run_admitted(const caller_request& request, bool idempotent);
+    server_response
+    respond(const caller_request& request, query_result result);
+    void
+    record_span(
+        const caller_request& request, const query_result& result) const;
+
+    settings settings_;
+    std::string id_prefix_;
+    query_context context_;
+    admission_gate& gate_;
+    write_runner write_;
+    std::atomic<std::uint64_t> next_query_{1};
+    std::atomic<bool> ready_{true};
+    std::mutex running_mutex_;
+    std::condition_variable idle_;
+    std::size_t running_ = 0;
+    bool refusing_ = false;
+};
+
+} // namespace bramleymux
--- a/src/config.hpp
+++ b/src/config.hpp
@@ -192,6 +192,17 @@
 // deadline.
 inline constexpr auto forwarded_grace = 5s;
 
+inline constexpr std::size_t poller_threads = 4;
+
+// Control thread of a daemon.
+inline constexpr auto control_period = 25ms;
+inline constexpr auto owners_period = 100ms;
+inline constexpr auto reports_repeat_period = 30s;
+inline constexpr auto table_watch_timeout = 5s;
+inline constexpr auto vm_list_period = 5s;
+inline constexpr auto platform_backoff_base = 50ms;
+inline constexpr auto platform_backoff_cap = 2s;
+
 // Entry VM. Time kept back from a caller's deadline for the merge and the
 // way back of the answer.
 inline constexpr auto entry_hop_cost = 2ms;
--- /dev/null
+++ b/src/daemon.cpp
@@ -0,0 +1,341 @@
+#include "daemon.hpp"
+
+#include "admin_server.hpp"
+#include "caller_server.hpp"
+#include "fleet_controller.hpp"
+#include "log_events.hpp"
+#include "peer_link.hpp"
+#include "platform_client.hpp"
+#include "platform_controller.hpp"
+#include "target_client.hpp"
+#include "target_poller.hpp"
+
+#include <algorithm>
+#include <stdexcept>
+#include <thread>
+
+namespace bramleymux
+{
+
+namespace
+{
+
+constexpr auto handover_time = std::chrono::milliseconds(500);
+constexpr std::size_t admin_threads = 4;
+constexpr std::uint32_t spare_connections = 2; // for polls and cancellations
+
+vm_identity
+make_identity(const settings& values)
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    vm_identity self;
+    self.id = values.vm_id;
+    self.zone = values.zone;
+    self.peer_address = values.peer_listen;
+    self.incarnation = static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::microseconds>(now).count());
+    return self;
+}
+
+peer_link_settings
+link_settings(const settings& values, const vm_identity& self)
+{
+    const std::size_t colon = values.peer_listen.rfind(':');
+    peer_link_settings out;
+    out.self = self;
+    out.bind_ip = values.peer_listen.substr(0, colon);
+    out.port = static_cast<std::uint16_t>(
+        std::stoi(values.peer_listen.substr(colon + 1)));
+    out.tls = {
+        values.tls.peer_certificate, values.tls.peer_key, values.tls.peer_ca};
+    out.seed = self.incarnation;
+    return out;
+}
+
+http_server_options
+caller_options(const settings& values)
+{
+    return {values.caller_listen, values.caller_threads, values.max_body_bytes,
+        values.tls.caller_certificate, ""};
+}
+
+http_server_options
+admin_options(const settings& values)
+{
+    return {values.admin_listen, admin_threads, config::max_table_bytes,
+        values.tls.admin_certificate, values.tls.admin_client_ca};
+}
+
+std::vector<vm_list_entry>
+seed_entries(const settings& values)
+{
+    std::vector<vm_list_entry> out;
+    for (const peer_seed& seed : values.peer_seeds)
+    {
+        out.push_back({seed.id, seed.zone, seed.address, vm_list_state::live});
+    }
+    return out;
+}
+
+span_exporter
+make_exporter(const settings& values);
+
+} // namespace
+
+struct daemon::parts
+{
+    explicit parts(const settings& v);
+
+    ownership_gate
+    make_gate();
+    executor_options
+    make_executor_options() const;
+    query_context
+    make_query_context();
+    void
+    on_message(peer_message message);
+    void
+    on_vm_list(const std::vector<vm_list_entry>& list);
+    bool
+    polls(const catalog_target& target);
+
+    const settings values;
+    const vm_identity self;
+    const bool direct;
+    metrics counters;
+    tracer spans;
+    blackboard board;
+    admission_gate gate;
+    ownership_guard ownership;
+    target_client targets;
+    platform_client platform;
+    target_executor executor;
+    table_controller tables;
+    report_controller reports;
+    peer_link peers;
+    dispatcher sink;
+    fleet_controller fleet;
+    target_poller poller;
+    platform_controller platform_reader;
+    caller_server callers;
+    admin_server admin;
+    std::unique_ptr<http_server> caller_http;
+    std::unique_ptr<http_server> admin_http;
+};
+
+daemon::parts::parts(const settings& v)
+    : values(v), self(make_identity(v)),
+      direct(v.policy == policy_kind::baseline),
+      spans(v.vm_id, v.zone, v.trace_sample, make_exporter(v)),
+      board(v.extra_load_share), gate(direct),
+      ownership({self.id, self.incarnation}, monotonic_clock::now()),
+      platform(*parse_http_address(v.platform_address)),
+      executor(targets, make_gate(), make_executor_options()),
+      tables(board, executor, gate, counters),
+      reports(board, executor, self.id, direct),
+      peers(link_settings(v, self),
+          [this](peer_message m) { on_message(std::move(m)); }),
+      sink(
+          board.owners, executor, peers, counters, self,
+          [this](const std::string& name)
+          { return tables.find_target_name(name); },
+          direct),
+      fleet(
+          {board, peers, sink, executor, tables, reports, ownership, counters},
+          self, self.incarnation, direct, {}, {}),
+      poller(
+          board, executor, reports, targets,
+          [this](const catalog_target& t) { return polls(t); }, self.id,
+          spare_connections),
+      platform_reader(platform, fleet, tables, counters, self.incarnation,
+          [this](const std::vector<vm_list_entry>& list) { on_vm_list(list); }),
+      callers(v, self.id, self.incarnation, make_query_context(), gate,
+          [](const caller_request&) { return query_result{}; }),
+      admin({board, platform, fleet, reports, executor, counters, self.id, {}},
+          v.admin_token_file)
+{
+}
+
+ownership_gate
+daemon::parts::make_gate()
+{
+    if (direct)
+    {
+        return {[](const std::string&, monotonic_time)
+            { return monotonic_time::max(); },
+            [](const std::string&, monotonic_time) { return 0U; }};
+    }
+    return {[this](const std::string& target, monotonic_time now)
+        { return ownership.lease_end_for(target, now); },
+        [this](const std::string& target, monotonic_time now)
+        {
+            return ownership.with([&](const ownership_state& s)
+                { return s.foreign_running(target, now); });
+        }};
+}
+
+executor_options
+daemon::parts::make_executor_options() const
+{
+    executor_options out;
+    out.vm_id = self.id;
+    out.incarnation = self.incarnation;
+    out.policy = direct ? limit_policy::baseline : limit_policy::adaptive;
+    out.baseline_limit = values.baseline_limit;
+    out.max_threads = values.worker_threads;
+    out.seed = self.incarnation;
+    return out;
+}
+
+query_context
+daemon::parts::make_query_context()
+{
+    query_context out{board, sink, counters, spans, values.policy, &gate, {}};
+    return out;
+}
+
+void
+daemon::parts::on_message(peer_message message)
+{
+    switch (message.type)
+    {
+    case peer_message_type::sub_batch:
+    case peer_message_type::sub_reply:
+    case peer_message_type::cancel:
+        sink.on_message(message);
+        break;
+    default:
+        fleet.post(std::move(message));
+        break;
+    }
+}
+
+/// Targets may be on the VM list under their own names.
+void
+daemon::parts::on_vm_list(const std::vector<vm_list_entry>& list)
+{
+    std::vector<target_handle> leaving;
+    for (const vm_list_entry& entry : list)
+    {
+        const target_handle target = tables.find_target_name(entry.id);
+        if (target.is_valid() && entry.state == vm_list_state::leaving)
+        {
+            leaving.push_back(target);
+        }
+    }
+    executor.set_leaving(leaving);
+}
+
+bool
+daemon::parts::polls(const catalog_target& target)
+{
+    return direct || ownership.lease_end_for(target.name,
+                         monotonic_clock::now()) != monotonic_time::min();
+}
+
+daemon::daemon(settings values) : parts_(std::make_unique<parts>(values))
+{
+    parts& p = *parts_;
+    if (!p.peers.start())
+    {
+        throw std::runtime_error("cannot listen on " + p.values.peer_listen);
+    }
+    p.fleet.post_vm_list(seed_entries(p.values));
+    p.fleet.start();
+    p.platform_reader.start();
+    p.admin_http = std::make_unique<http_server>(admin_options(p.values),
+        [&p](const server_request& r) { return p.admin.handle(r); });
+    p.caller_http = std::make_unique<http_server>(caller_options(p.values),
+        [&p](const server_request& r) { return p.callers.handle(r); });
+    log_event(event::daemon_started,
+        "vm=" + p.self.id + " zone=" + p.self.zone +
+            " incarnation=" + std::to_string(p.self.incarnation) +
+            " caller=" + p.values.caller_listen);
+}
+
+daemon::~daemon()
+{
+    parts& p = *parts_;
+    p.platform_reader.stop();
+    p.poller.stop();
+    p.fleet.stop();
+    p.peers.stop();
+}
+
+void
+daemon::stop()
+{
+    parts& p = *parts_;
+    log_event(event::daemon_stopping, "vm=" + p.self.id);
+    p.callers.fail_readiness();
+    std::this_thread::sleep_for(
+        std::chrono::milliseconds(p.values.balancer_delay_ms));
+    const monotonic_time until =
+        monotonic_clock::now() +
+        std::chrono::milliseconds(p.values.drain_timeout_ms);
+    const bool callers_done = p.callers.drain(until);
+    p.fleet.release_targets(monotonic_clock::now() + handover_time);
+    p.executor.drain();
+    const bool work_done = p.executor.wait_idle(until);
+    p.fleet.leave();
+    p.caller_http->stop();
+    p.admin_http->stop();
+    log_event(event::daemon_stopped,
+        "vm=" + p.self.id + " callers_done=" + std::to_string(callers_done) +
+            " work_done=" + std::to_string(work_done));
+}
+
+void
+daemon::reload()
+{
+    const bool reloaded = parts_->peers.reload_tls();
+    log_event(
+        reloaded ? event::tls_reloaded : event::tls_reload_failed, "port=peer");
+}
+
+namespace
+{
+
+constexpr auto export_timeout = std::chrono::seconds(2);
+
+span_exporter
+make_exporter(const settings& values)
+{
+    if (values.trace_file.empty() && values.trace_collector.empty())
+    {
+        return {};
+    }
+    const auto collector = parse_http_address(
+        values.trace_collector.empty() ? "0.0.0.0:0" : values.trace_collector);
+    return [file = values.trace_file, collector,
+               post = !values.trace_collector.empty()](const std::string& text)
+    {
+        if (!file.empty())
+        {
+            std::FILE* out = std::fopen(file.c_str(), "a");
+            if (out != nullptr)
+            {
+                std::fwrite(text.data(), 1, text.size(), out);
+                std::fputc('\n', out);
+                std::fclose(out);
+            }
+        }
+        if (post)
+        {
+            const monotonic_time until =
+                monotonic_clock::now() + export_timeout;
+            auto connection = http_connection::open(*collector, until);
+            if (connection)
+            {
+                static_cast<void>(connection.value().exchange(
+                    {"POST", "/v1/traces",
+                        {{"Content-Type", "application/json"}}, text},
+                    until));
+            }
+        }
+    };
+}
+
+} // namespace
+
+} // namespace bramleymux
--- /dev/null
+++ b/src/platform_controller.hpp
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "fleet_controller.hpp"
+#include "metrics.hpp"
+#include "platform.hpp"
+
+#include <condition_variable>
+#include <functional>
+#include <mutex>
+#include <random>
+#include <thread>
+
+/// Threads that read the platform: the watch on the table and the VM list.
+namespace bramleymux
+{
+
+class platform_controller
+{
+public:
+    using vm_list_observer =
+        std::function<void(const std::vector<vm_list_entry>&)>;
+
+    platform_controller(platform_api& platform, fleet_controller& fleet,
+        table_controller& tables, metrics& counters, std::uint64_t seed,
+        vm_list_observer on_list);
+    ~platform_controller();
+
+    platform_controller(const platform_controller&) = delete;
+    platform_controller&
+    operator=(const platform_controller&) = delete;
+
+    void
+    start();
+
+    void
+    stop();
+
+private:
+    void
+    run_table();
+    void
+    run_list();
+    bool
+    read_table(std::uint64_t& seen);
+    void
+    note_result(bool reachable);
+    /// False when the controller stops.
+    bool
+    pause(duration time);
+
+    platform_api& platform_;
+    fleet_controller& fleet_;
+    table_controller& tables_;
+    metrics& metrics_;
+    vm_list_observer on_list_;
+    std::mt19937_64 table_random_;
+    std::mt19937_64 list_random_;
+    std::mutex mutex_;
+    std::condition_variable wake_;
+    bool stopping_ = false;
+    bool reachable_ = true;
+    std::thread table_thread_;
+    std::thread list_thread_;
+};
+
+} // namespace bramleymux
--- a/src/query.hpp
+++ b/src/query.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission_gate.hpp"
 #include "blackboard.hpp"
 #include "caller_request.hpp"
 #include "coverage.hpp"
@@ -51,6 +52,7 @@
     metrics& counters;
     tracer& spans;
     policy_kind policy = policy_kind::adaptive;
+    admission_gate* gate = nullptr;
     outcome_observer observe; ///< called for each reply
 };
 
--- a/src/query_read.cpp
+++ b/src/query_read.cpp
@@ -293,6 +293,10 @@
     const duration elapsed = now_ - sent.sent;
     const run_state run = reply.run;
     const duration target_time = reply.target_time;
+    if (context_.gate != nullptr)
+    {
+        context_.gate->note(in_.service->self, reply);
+    }
     const merge_result merged = merge(builder_, std::move(reply));
     any_run_ = any_run_ || run == run_state::run;
     any_unknown_ = any_unknown_ || run == run_state::unknown;
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -145,11 +145,20 @@
     {
         item.erase(0, item.find_first_not_of(' '));
         item.erase(item.find_last_not_of(' ') + 1);
-        if (!is_ip_port(item))
+        const std::size_t first = item.find('/');
+        const std::size_t second = item.find('/', first + 1);
+        peer_seed seed;
+        if (second != std::string::npos)
         {
-            return "must be IP:port, separated by commas";
+            seed = {item.substr(0, first),
+                item.substr(first + 1, second - first - 1),
+                item.substr(second + 1)};
         }
-        s.peer_seeds.push_back(item);
+        if (seed.id.empty() || seed.zone.empty() || !is_ip_port(seed.address))
+        {
+            return "must be id/zone/IP:port, separated by commas";
+        }
+        s.peer_seeds.push_back(seed);
     }
     return "";
 }
--- a/src/settings.hpp
+++ b/src/settings.hpp
@@ -34,6 +34,13 @@
     std::string peer_ca;
 };
 
+struct peer_seed
+{
+    std::string id;
+    std::string zone;
+    std::string address; ///< IP:port
+};
+
 struct settings
 {
     std::string vm_id;
@@ -43,7 +50,7 @@
     std::string peer_listen;
     std::string admin_listen;
     std::string platform_address;
-    std::vector<std::string> peer_seeds; ///< IP:port, for a platform outage
+    std::vector<peer_seed> peer_seeds; ///< for a start in a platform outage
 
     std::string admin_token_file;
     tls_settings tls;
--- a/src/target_client.cpp
+++ b/src/target_client.cpp
@@ -315,9 +315,11 @@
 }
 
 std::size_t
-target_client::warm(const catalog_target& target, monotonic_time deadline)
+target_client::warm(
+    const catalog_target& target, std::size_t count, monotonic_time deadline)
 {
-    return pool_of(target)->warm(target.connections, deadline);
+    return pool_of(target)->warm(
+        std::min<std::size_t>(count, target.connections), deadline);
 }
 
 std::optional<target_load>
--- a/src/target_client.hpp
+++ b/src/target_client.hpp
@@ -46,9 +46,11 @@
     std::optional<target_report>
     status(const catalog_target& target) override;
 
-    /// Opens connections up to the target's limit. Returns the number open.
+    /// Opens connections up to `count`, and the target's limit at most. Returns
+    /// the number open.
     std::size_t
-    warm(const catalog_target& target, monotonic_time deadline);
+    warm(const catalog_target& target, std::size_t count,
+        monotonic_time deadline);
 
     /// The newest load report of the target's replies.
     std::optional<target_load>
