--- a/tools/common/http_server.cpp
+++ b/tools/common/http_server.cpp
@@ -2,8 +2,10 @@
 
 #include <civetweb.h>
 
+#include <atomic>
 #include <csignal>
 #include <stdexcept>
+#include <thread>
 
 namespace bramleymux::tools
 {
@@ -44,7 +46,10 @@
                        "\r\n";
     for (const auto& [name, value] : response.headers)
     {
-        text += name + ": " + value + "\r\n";
+        text += name;
+        text += ": ";
+        text += value;
+        text += "\r\n";
     }
     if (response.status != 204)
     {
@@ -96,9 +101,29 @@
     mg_set_request_handler(context_, "**", on_request, this);
 }
 
+/// CivetWeb's listening thread sees the stop after up to 2 s unless a
+/// connection wakes it.
 http_server::~http_server()
 {
-    mg_stop(context_);
+    auto address = parse_http_address(options_.address);
+    if (address)
+    {
+        address->port = port();
+    }
+    std::atomic<bool> stopped{false};
+    std::thread stopper(
+        [&]
+        {
+            mg_stop(context_);
+            stopped = true;
+        });
+    while (address && !stopped)
+    {
+        const auto waking = http_connection::open(
+            *address, monotonic_clock::now() + std::chrono::seconds(1));
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+    stopper.join();
 }
 
 std::uint16_t
