--- a/tests/test_latency.cpp
+++ b/tests/test_latency.cpp
@@ -1,4 +1,5 @@
-#include "fanout_model.hpp"
+#include "common/fanout_model.hpp"
+#include "latency.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -6,8 +7,8 @@
 
 using namespace bramleymux;
 using namespace std::chrono_literals;
-using bramleymux::testing::fanout_options;
-using bramleymux::testing::run_model;
+using bramleymux::tools::fanout_options;
+using bramleymux::tools::run_fanout;
 
 namespace
 {
@@ -196,10 +197,10 @@
     {
         fanout_options options;
         options.straggler_share = share;
-        const auto baseline = run_model(options);
+        const auto baseline = run_fanout(options);
         options.policy = routing_policy::adaptive;
         options.hedge = true;
-        const auto adaptive = run_model(options);
+        const auto adaptive = run_fanout(options);
         CHECK(adaptive.p99_ms <= (share > 0 ? 0.3 : 1.05) * baseline.p99_ms);
         CHECK(adaptive.extra_load <= config::extra_load_share);
     }
@@ -209,8 +210,8 @@
 TEST_CASE("a slow target is avoided", "[latency][model]")
 {
     fanout_options options;
-    const auto quiet = run_model(options);
+    const auto quiet = run_fanout(options);
     options.slow_targets = 1;
     options.policy = routing_policy::adaptive;
-    CHECK(run_model(options).p99_ms <= 1.05 * quiet.p99_ms);
+    CHECK(run_fanout(options).p99_ms <= 1.05 * quiet.p99_ms);
 }
--- a/tests/test_routing.cpp
+++ b/tests/test_routing.cpp
@@ -1,14 +1,16 @@
-#include "fanout_model.hpp"
+#include "common/fanout_model.hpp"
+#include "config.hpp"
 
 #include <catch2/catch.hpp>
 
-#include <cstdio>
+#include <numeric>
+#include <random>
 #include <set>
 
 using namespace bramleymux;
-using bramleymux::testing::fanout_options;
-using bramleymux::testing::make_fleet;
-using bramleymux::testing::run_model;
+using bramleymux::tools::fanout_options;
+using bramleymux::tools::make_fleet;
+using bramleymux::tools::run_fanout;
 
 namespace
 {
@@ -23,8 +25,8 @@
 }
 
 query_plan
-plan(const testing::fleet& f, plan_request request,
-    std::vector<shard_id> shards, std::uint64_t seed = 1)
+plan(const tools::fleet& f, plan_request request, std::vector<shard_id> shards,
+    std::uint64_t seed = 1)
 {
     const auto index = build_routing_index(f.names, f.reports);
     std::mt19937_64 random(seed);
@@ -34,7 +36,7 @@
 }
 
 snapshot_sequence
-chosen(const testing::fleet& f, version_handle version = {})
+chosen(const tools::fleet& f, version_handle version = {})
 {
     const auto index = build_routing_index(f.names, f.reports);
     const auto* found = choose_snapshot(*index, service, version, f.views);
@@ -61,7 +63,7 @@
     f.views[0].weight = 1.0;
     f.views[3].unusable = miss_reason::zone_out;
     CHECK(chosen(f) == 2);
-    CHECK(chosen(testing::fleet{}) == 0);
+    CHECK(chosen(tools::fleet{}) == 0);
 }
 
 // Guards against a bad version that draws every query to itself by reporting a
@@ -252,34 +254,9 @@
 {
     fanout_options options;
     options.overlap = 1;
-    const auto baseline = run_model(options);
+    const auto baseline = run_fanout(options);
     options.policy = routing_policy::adaptive;
-    const auto adaptive = run_model(options);
+    const auto adaptive = run_fanout(options);
     CHECK(adaptive.batches < 0.75 * baseline.batches);
     CHECK(adaptive.p99_ms < 1.05 * baseline.p99_ms);
 }
-
-// Prints the time of one plan; run it with "[.measure]".
-TEST_CASE("time of one plan", "[.measure]")
-{
-    for (const std::uint32_t searchers : {10U, 70U, 700U})
-    {
-        auto f = make_fleet(searchers, 3, 700 / searchers);
-        const auto index = build_routing_index(f.names, f.reports);
-        std::mt19937_64 random(1);
-        const auto begin = monotonic_clock::now();
-        std::size_t batches = 0;
-        for (int i = 0; i < 1000; ++i)
-        {
-            const auto& s = *choose_snapshot(*index, service, {}, f.views);
-            plan_request request;
-            request.shards = all_shards(s);
-            batches += plan_query(*index, s, request, f.views, begin, random)
-                           .batches.size();
-        }
-        const std::chrono::duration<double, std::milli> spent =
-            monotonic_clock::now() - begin;
-        std::printf("%u searchers: %.1f us, %.1f batches\n", searchers,
-            spent.count(), static_cast<double>(batches) / 1000);
-    }
-}
--- a/tests/fanout_model.hpp
+++ b/tools/common/fanout_model.cpp
@@ -1,75 +1,19 @@
-#pragma once
+#include "common/fanout_model.hpp"
 
 #include "coverage.hpp"
 #include "latency.hpp"
-#include "routing.hpp"
 
 #include <algorithm>
 #include <deque>
 #include <queue>
 #include <random>
+#include <utility>
 
-/// One service behind one entry VM on a virtual clock: targets with slots and
-/// a queue, queries that fan out to all shards, and hedges.
-namespace bramleymux::testing
+namespace bramleymux::tools
 {
 
-/// Targets of `searchers` x `replicas`; a searcher holds `size` shards of
-/// snapshot 1, and `overlap` times as many that the next searchers hold too.
-struct fleet
+namespace
 {
-    catalog names;
-    std::vector<target_report> reports;
-    target_views views;
-};
-
-inline fleet
-make_fleet(std::uint32_t searchers, std::uint32_t replicas, std::uint32_t size,
-    std::uint32_t overlap = 0)
-{
-    fleet result;
-    result.names.services.resize(1);
-    result.names.services[0].self.index = 0;
-    const auto shard_count = searchers * size;
-    for (std::uint32_t i = 0; i < searchers * replicas; ++i)
-    {
-        catalog_target target;
-        target.self.index = static_cast<std::uint16_t>(i);
-        target.service.index = 0;
-        target.version.index = 0;
-        result.names.targets.push_back(target);
-        result.names.services[0].targets.push_back(target.self);
-        const auto first = i / replicas * size;
-        const auto last =
-            std::min(shard_count, first + (1 + overlap) * size) - 1;
-        target_report report;
-        report.snapshots.push_back({1, shard_count, {{first, last}}});
-        result.reports.push_back(report);
-        target_view view;
-        view.unusable = miss_reason::none;
-        result.views.push_back(view);
-    }
-    return result;
-}
-
-struct fanout_options
-{
-    routing_policy policy = routing_policy::baseline;
-    bool hedge = false;
-    double straggler_share = 0.0; ///< of requests, 50 times as long
-    std::size_t slow_targets = 0; ///< always 50 times as long
-    double queries_per_s = 600.0;
-    std::uint32_t overlap = 0;
-    std::size_t queries = 6000;
-};
-
-struct fanout_result
-{
-    double p50_ms = 0.0;
-    double p99_ms = 0.0;
-    double extra_load = 0.0; ///< hedged shards for each shard asked
-    double batches = 0.0;    ///< for each query
-};
 
 class fanout_model
 {
@@ -336,10 +280,41 @@
     std::mt19937_64 random_{1};
 };
 
-inline fanout_result
-run_model(const fanout_options& options)
+} // namespace
+
+fleet
+make_fleet(std::uint32_t searchers, std::uint32_t replicas, std::uint32_t size,
+    std::uint32_t overlap)
+{
+    fleet result;
+    result.names.services.resize(1);
+    result.names.services[0].self.index = 0;
+    const auto shard_count = searchers * size;
+    for (std::uint32_t i = 0; i < searchers * replicas; ++i)
+    {
+        catalog_target target;
+        target.self.index = static_cast<std::uint16_t>(i);
+        target.service.index = 0;
+        target.version.index = 0;
+        result.names.targets.push_back(target);
+        result.names.services[0].targets.push_back(target.self);
+        const auto first = i / replicas * size;
+        const auto last =
+            std::min(shard_count, first + (1 + overlap) * size) - 1;
+        target_report report;
+        report.snapshots.push_back({1, shard_count, {{first, last}}});
+        result.reports.push_back(report);
+        target_view view;
+        view.unusable = miss_reason::none;
+        result.views.push_back(view);
+    }
+    return result;
+}
+
+fanout_result
+run_fanout(const fanout_options& options)
 {
     return fanout_model(options).run();
 }
 
-} // namespace bramleymux::testing
+} // namespace bramleymux::tools
--- /dev/null
+++ b/tools/common/overload_model.cpp
@@ -0,0 +1,201 @@
+#include "common/overload_model.hpp"
+
+#include "admission.hpp"
+
+#include <algorithm>
+#include <deque>
+#include <queue>
+#include <random>
+#include <utility>
+
+namespace bramleymux::tools
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+class overload_model
+{
+public:
+    explicit overload_model(const overload_options& options)
+        : options_(options), vms_(options.vms), pools_(options.services.size())
+    {
+        for (const auto& service : options.services)
+        {
+            loads_.insert(loads_.end(), service.begin(), service.end());
+        }
+        names_ = catalog_of(options.services, options.floors);
+        for (auto& vm : vms_)
+        {
+            apply(vm, names_);
+        }
+        result_.served_per_s.resize(loads_.size());
+    }
+
+    overload_result
+    run()
+    {
+        for (std::size_t r = 0; r < loads_.size(); ++r)
+        {
+            events_.push({now_, arrival + r});
+        }
+        while (!events_.empty() && events_.top().first < monotonic_time(20s))
+        {
+            const auto [at, what] = events_.top();
+            events_.pop();
+            now_ = at;
+            if (what >= arrival)
+            {
+                arrive(static_cast<std::uint16_t>(what - arrival));
+            }
+            else
+            {
+                finish(what);
+            }
+        }
+        return result_;
+    }
+
+private:
+    static constexpr std::size_t arrival = 1U << 30U;
+    static constexpr auto deadline = 300ms;
+
+    struct request
+    {
+        std::uint16_t route;
+        std::size_t vm;
+        monotonic_time arrived;
+        monotonic_time begun;
+    };
+
+    struct pool
+    {
+        std::size_t running = 0;
+        std::deque<std::size_t> waiting;
+    };
+
+    duration
+    exponential(double mean_s)
+    {
+        return std::chrono::duration_cast<duration>(
+            std::chrono::duration<double>(
+                std::exponential_distribution<double>(1 / mean_s)(random_)));
+    }
+
+    void
+    arrive(std::uint16_t route)
+    {
+        events_.push(
+            {now_ + exponential(1 / loads_[route].per_s), arrival + route});
+        const auto vm = random_() % vms_.size();
+        if (options_.admission &&
+            !admit(vms_[vm], route_handle{route}, now_).admitted)
+        {
+            return;
+        }
+        result_.most_threads =
+            std::max(result_.most_threads, vms_[vm].in_flight);
+        requests_.push_back({route, vm, now_, {}});
+        const auto service = names_.routes[route].service.index;
+        pools_[service].waiting.push_back(requests_.size() - 1);
+        start_next(service);
+    }
+
+    void
+    start_next(std::uint16_t service)
+    {
+        auto& p = pools_[service];
+        while (p.running < options_.slots && !p.waiting.empty())
+        {
+            const auto id = p.waiting.front();
+            p.waiting.pop_front();
+            requests_[id].begun = now_;
+            if (now_ - requests_[id].arrived > deadline)
+            {
+                end(id, miss_reason::deadline);
+                continue;
+            }
+            ++p.running;
+            events_.push({now_ + exponential(options_.time_ms / 1e3), id});
+        }
+    }
+
+    void
+    finish(std::size_t id)
+    {
+        const auto& r = requests_[id];
+        const auto service = names_.routes[r.route].service.index;
+        --pools_[service].running;
+        if (now_ - r.arrived <= deadline && now_ > monotonic_time(10s))
+        {
+            result_.served_per_s[r.route] += 0.1;
+            result_.worth_per_s += 0.1 * loads_[r.route].worth;
+        }
+        end(id, miss_reason::none);
+        start_next(service);
+    }
+
+    void
+    end(std::size_t id, miss_reason error)
+    {
+        const auto& r = requests_[id];
+        if (!options_.admission)
+        {
+            return;
+        }
+        sub_reply reply;
+        reply.error = error;
+        reply.queue_time = r.begun - r.arrived;
+        reply.target_time = now_ - r.begun;
+        observe(vms_[r.vm], names_.routes[r.route].service, reply);
+        release(vms_[r.vm], route_handle{r.route}, now_ - r.arrived, now_);
+    }
+
+    using event = std::pair<monotonic_time, std::size_t>;
+
+    overload_options options_;
+    overload_result result_;
+    std::vector<admission_state> vms_;
+    std::vector<pool> pools_;
+    std::vector<route_load> loads_;
+    catalog names_;
+    std::vector<request> requests_;
+    std::priority_queue<event, std::vector<event>, std::greater<>> events_;
+    monotonic_time now_{};
+    std::mt19937_64 random_{1};
+};
+
+} // namespace
+
+catalog
+catalog_of(const std::vector<std::vector<route_load>>& services,
+    const std::vector<double>& floors)
+{
+    catalog result;
+    for (std::size_t s = 0; s < services.size(); ++s)
+    {
+        catalog_service service;
+        service.self.index = static_cast<std::uint16_t>(s);
+        service.floor_share = floors[s];
+        for (const auto& load : services[s])
+        {
+            catalog_route route;
+            route.self.index = static_cast<std::uint16_t>(result.routes.size());
+            route.service = service.self;
+            route.worth = load.worth;
+            result.routes.push_back(route);
+        }
+        result.services.push_back(service);
+    }
+    return result;
+}
+
+overload_result
+run_overload(const overload_options& options)
+{
+    return overload_model(options).run();
+}
+
+} // namespace bramleymux::tools
