--- a/tests/test_http_client.cpp
+++ b/tests/test_http_client.cpp
@@ -217,6 +217,39 @@
     CHECK(waited.error() == http_errc::connect_failed);
 }
 
+// Guards against CivetWeb's own 10 s limit on a connect: a paused server with
+// a full accept queue answers no further connects.
+TEST_CASE("a connect without an answer ends at the deadline", "[http]")
+{
+    const int listener = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in name{};
+    name.sin_family = AF_INET;
+    name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(name);
+    auto* const generic = reinterpret_cast<sockaddr*>(&name);
+    REQUIRE(bind(listener, generic, size) == 0);
+    REQUIRE(listen(listener, 0) == 0);
+    getsockname(listener, generic, &size);
+    std::vector<int> fillers;
+    for (int i = 0; i < 4; ++i)
+    {
+        fillers.push_back(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
+        connect(fillers.back(), generic, size);
+    }
+    connection_pool pool({"127.0.0.1", ntohs(name.sin_port), {}}, 1);
+    const auto begin = monotonic_clock::now();
+    const auto reply = pool.request({"GET", "/", {}, ""}, after(100ms));
+    REQUIRE_FALSE(reply);
+    CHECK(reply.error() == http_errc::connect_failed);
+    CHECK(monotonic_clock::now() - begin < 9s);
+    CHECK(pool.stats().open == 0);
+    for (const int filler : fillers)
+    {
+        close(filler);
+    }
+    close(listener);
+}
+
 // Guards against a header of a caller's choice injected through a value.
 TEST_CASE("CR, LF and NUL are refused in headers and paths", "[http]")
 {
