--- a/tests/test_ownership.cpp
+++ b/tests/test_ownership.cpp
@@ -415,6 +415,25 @@
     WARN("virtual idle time: " << gap / 1ms << " ms");
 }
 
+// Guards against two live VMs that take each other for dead and both go on.
+TEST_CASE("VMs that drop each other do not both act", "[ownership]")
+{
+    auto zone = make_zone(5, 2);
+    zone.longest_gap(8s);
+    REQUIRE(zone.is_served());
+    for (int i = 0; i < 500; ++i)
+    {
+        if (i < 250)
+        {
+            zone.nodes[0].last_seen.clear();
+            zone.nodes[1].last_seen.clear();
+        }
+        zone.advance();
+        CHECK(zone.is_safe());
+    }
+    CHECK(zone.is_served());
+}
+
 // Guards against a late acknowledgement that extends a lease past the promise.
 TEST_CASE("an acknowledgement counts from its request", "[ownership]")
 {
--- a/tests/virtual_fleet.hpp
+++ b/tests/virtual_fleet.hpp
@@ -174,9 +174,9 @@
     bool
     agrees() const
     {
-        return std::all_of(nodes.begin(), nodes.end(), [&](const auto& each) {
-            return !each.second->running || sees_all(*each.second);
-        });
+        return std::all_of(nodes.begin(), nodes.end(),
+            [&](const auto& each)
+            { return !each.second->running || sees_all(*each.second); });
     }
 
     bool
