Bound the connections of each VM under the baseline policy

Cause: under the baseline policy every VM connects to every target, each up to the target's own limit, so that 8 VMs held more connections than a target accepts and status polls and queries timed out.

--- a/scripts/local_fleet.sh
+++ b/scripts/local_fleet.sh
@@ -88,22 +88,29 @@
     done
 }
 
-stop() {
-    local pids=()
-    for file in "$run"/vm-*.pid; do
-        [ -e "$file" ] || continue
-        kill -TERM "$(cat "$file")" 2>/dev/null || true
-        pids+=("$(cat "$file")")
+stop_programs() { # names
+    local pids=() name pid
+    for name in "$@"; do
+        [ -e "$run/$name.pid" ] || continue
+        pid=$(cat "$run/$name.pid")
+        kill -TERM "$pid" 2>/dev/null && pids+=("$pid")
+        rm -f "$run/$name.pid"
     done
     for pid in "${pids[@]}"; do
-        for _ in $(seq 200); do
+        for _ in $(seq 300); do
             kill -0 "$pid" 2>/dev/null || break
             sleep 0.1
         done
     done
-    for name in targets platform; do
-        [ -e "$run/$name.pid" ] && kill -TERM "$(cat "$run/$name.pid")" || true
+}
+
+stop() {
+    local zone vms=()
+    for zone in "${zones[@]}"; do
+        vms+=("vm-$zone-1" "vm-$zone-2")
     done
+    stop_programs "${vms[@]}"
+    stop_programs targets platform
 }
 
 "$action"
--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -11,6 +11,7 @@
 #include "target_poller.hpp"
 
 #include <algorithm>
+#include <limits>
 #include <stdexcept>
 #include <thread>
 
@@ -22,7 +23,7 @@
 
 constexpr auto handover_time = std::chrono::milliseconds(500);
 constexpr std::size_t admin_threads = 4;
-constexpr std::uint32_t spare_connections = 2; // for polls and cancellations
+constexpr std::size_t spare_connections = 2; // for polls and cancellations
 
 vm_identity
 make_identity(const settings& values)
@@ -98,6 +99,8 @@
     on_vm_list(const std::vector<vm_list_entry>& list);
     bool
     polls(const catalog_target& target);
+    std::size_t
+    wanted_connections(const catalog_target& target) const;
 
     const settings values;
     const vm_identity self;
@@ -129,6 +132,8 @@
       spans(v.vm_id, v.zone, v.trace_sample, make_exporter(v)),
       board(v.extra_load_share), gate(direct),
       ownership({self.id, self.incarnation}, monotonic_clock::now()),
+      targets(direct ? v.baseline_limit + spare_connections
+                     : std::numeric_limits<std::size_t>::max()),
       platform(*parse_http_address(v.platform_address)),
       executor(targets, make_gate(), make_executor_options()),
       tables(board, executor, gate, counters),
@@ -146,7 +151,7 @@
       poller(
           board, executor, reports, targets,
           [this](const catalog_target& t) { return polls(t); }, self.id,
-          spare_connections),
+          [this](const catalog_target& t) { return wanted_connections(t); }),
       platform_reader(platform, fleet, tables, counters, self.incarnation,
           [this](const std::vector<vm_list_entry>& list) { on_vm_list(list); }),
       callers(v, self.id, self.incarnation, make_query_context(), gate,
@@ -233,6 +238,15 @@
                          monotonic_clock::now()) != monotonic_time::min();
 }
 
+/// Under the baseline policy every VM connects to every target, so each keeps
+/// only what its own limit needs.
+std::size_t
+daemon::parts::wanted_connections(const catalog_target& target) const
+{
+    return direct ? values.baseline_limit + spare_connections
+                  : target.slots + spare_connections;
+}
+
 daemon::daemon(settings values) : parts_(std::make_unique<parts>(values))
 {
     parts& p = *parts_;
--- a/src/target_client.cpp
+++ b/src/target_client.cpp
@@ -218,7 +218,8 @@
 std::shared_ptr<connection_pool>
 target_client::pool_of(const catalog_target& target)
 {
-    const std::size_t limit = std::max(1U, target.connections);
+    const std::size_t limit = std::min<std::size_t>(
+        std::max(1U, target.connections), connection_limit_);
     const std::lock_guard lock(mutex_);
     endpoint_state& state = endpoints_[{target.host, target.port}];
     if (!state.pool)
--- a/src/target_client.hpp
+++ b/src/target_client.hpp
@@ -3,6 +3,7 @@
 #include "http_client.hpp"
 #include "target_api.hpp"
 
+#include <limits>
 #include <map>
 
 /// Target protocol over pooled HTTP connections.
@@ -34,6 +35,14 @@
 class target_client : public target_api
 {
 public:
+    /// Connections to one target are bounded by the target's own limit, and by
+    /// `connection_limit` where this VM is not the only one that connects.
+    explicit target_client(
+        std::size_t connection_limit = std::numeric_limits<std::size_t>::max())
+        : connection_limit_(connection_limit)
+    {
+    }
+
     sub_reply
     execute(const sub_request& request, const catalog_target& target,
         monotonic_time deadline, const std::string& wire_request_id) override;
@@ -75,6 +84,7 @@
     void
     note_load(const catalog_target& target, const http_response& response);
 
+    const std::size_t connection_limit_;
     mutable std::mutex mutex_;
     std::map<std::pair<std::string, std::uint16_t>, endpoint_state> endpoints_;
 };
--- a/src/target_poller.cpp
+++ b/src/target_poller.cpp
@@ -18,10 +18,10 @@
 
 target_poller::target_poller(blackboard& board, target_executor& executor,
     report_controller& reports, target_client& targets, ownership_test owns,
-    std::string self, std::uint32_t spare_connections)
+    std::string self, connection_count wanted)
     : board_(board), executor_(executor), reports_(reports), targets_(targets),
       owns_(std::move(owns)), self_(std::move(self)),
-      spare_connections_(spare_connections), states_(config::max_targets)
+      wanted_(std::move(wanted)), states_(config::max_targets)
 {
     for (std::size_t i = 0; i < threads_.size(); ++i)
     {
@@ -112,8 +112,7 @@
         report->reachable = true;
         executor_.on_status(row.self, *report);
         state.last = *report;
-        targets_.warm(row, row.slots + spare_connections_,
-            monotonic_clock::now() + warm_timeout);
+        targets_.warm(row, wanted_(row), monotonic_clock::now() + warm_timeout);
         reports_.publish(row.self, state.last);
         return;
     }
--- a/src/target_poller.hpp
+++ b/src/target_poller.hpp
@@ -22,12 +22,15 @@
 class target_poller
 {
 public:
+    /// Connections to keep open to a target.
+    using connection_count = std::function<std::size_t(const catalog_target&)>;
+
     /// Whether this VM polls a target now.
     using ownership_test = std::function<bool(const catalog_target&)>;
 
     target_poller(blackboard& board, target_executor& executor,
         report_controller& reports, target_client& targets, ownership_test owns,
-        std::string self, std::uint32_t spare_connections);
+        std::string self, connection_count wanted);
     ~target_poller();
 
     target_poller(const target_poller&) = delete;
@@ -63,7 +66,7 @@
     target_client& targets_;
     ownership_test owns_;
     const std::string self_;
-    const std::uint32_t spare_connections_;
+    const connection_count wanted_;
     std::vector<poll_state> states_; ///< by target handle
     mutable std::mutex mutex_;
     std::condition_variable wake_;
--- a/tests/test_target_client.cpp
+++ b/tests/test_target_client.cpp
@@ -92,7 +92,7 @@
         }));
     target_client client;
     const auto target = target_at(server);
-    CHECK(client.warm(target, monotonic_clock::now() + give_up) == 2);
+    CHECK(client.warm(target, 8, monotonic_clock::now() + give_up) == 2);
     const auto reply = client.execute(
         example_request(false), target, monotonic_clock::now() + give_up, "w1");
     REQUIRE(reply.error == miss_reason::none);
