Test new versions and step their share

Change: pooled evidence, sequential ratio tests with regular restarts and controls matched in time, steps planned against the deadline and the new targets' capacity, sticky withdrawals, version choice and status. The version that serves outside a move follows the done moves. Pulses of overload withdrew good moves until the windows restarted at each share and old replies were matched in time.

--- a/src/config.hpp
+++ b/src/config.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -187,6 +188,80 @@
 inline constexpr auto platform_timeout = 2s;
 inline constexpr auto idempotency_expiry = 24h;
 inline constexpr auto controller_lease = 5s;
+inline constexpr auto lease_renewal = 1500ms;
+// A holder stops this long before its lease ends, for clocks that drift.
+inline constexpr auto lease_margin = 500ms;
+inline constexpr auto backoff_base = 100ms;
+inline constexpr auto backoff_cap = 10s;
+// Time over which call rates grow back to normal after an outage.
+inline constexpr auto outage_ramp = 10s;
+inline constexpr double outage_ramp_start = 0.1;
+// Calls a second of the whole fleet by kind: below the platform's several
+// hundred writes and two thousand reads a second.
+inline constexpr double idempotency_call_rate = 300.0;
+inline constexpr double table_call_rate = 50.0;
+inline constexpr double status_call_rate = 20.0;
+inline constexpr double lease_call_rate = 100.0;
+inline constexpr double list_call_rate = 50.0;
+
+// Idempotency records.
+inline constexpr std::size_t max_claim_attempts = 4;
+inline constexpr std::size_t max_pending_records = 4096;
+inline constexpr std::size_t max_outcome_bytes = 64 * kib;
+inline constexpr std::size_t expiry_batch = 50;
+inline constexpr std::size_t pending_batch = 16;
+
+// Version moves. Shares of the steps; the new version gets at most the share
+// of `last_unproven_step` until its routes are proven.
+inline constexpr std::array<double, 7> move_steps{
+    0.01, 0.02, 0.05, 0.10, 0.25, 0.50, 1.00};
+inline constexpr std::size_t last_unproven_step = 2;
+// Traffic left with the old version at the last step until the soak ends, so
+// that an overload of both can be told from a late fault of the new version.
+inline constexpr double control_share = 0.05;
+inline constexpr auto min_step_time = 2s;
+inline constexpr auto max_step_time = 600s;
+inline constexpr auto move_rate_window = 4s;
+inline constexpr std::size_t max_withdrawals = 256;
+inline constexpr std::size_t max_evidence_cells = 8192;
+inline constexpr auto evidence_period = 200ms;
+inline constexpr auto evidence_gap = 2s;
+inline constexpr auto evidence_expiry = 600s;
+
+// Tests of a new version. A rate of bad replies up to factor * old + margin is
+// accepted; above it the log-likelihood ratio decides. 14 = ln(1e6) bounds the
+// error of one test at about 1e-6 (Wald 1945).
+inline constexpr double error_bound_factor = 1.5;
+inline constexpr double error_bound_margin = 0.01;
+inline constexpr double slow_bound_factor = 2.0;
+inline constexpr double slow_bound_margin = 0.03;
+inline constexpr double withdraw_evidence = 14.0;
+// Evidence that must remain without the worst group of targets.
+inline constexpr double spread_evidence = 3.0;
+// Relative change of the share at which the tests start again.
+inline constexpr double share_change = 0.2;
+inline constexpr double controls_per_reply = 20.0;
+inline constexpr auto control_wait = 1s;
+// One crash loses at most about four running requests.
+inline constexpr double min_bad_replies = 6.0;
+inline constexpr auto shortest_test_window = 250ms;
+inline constexpr int test_window_ratio = 4;
+
+// A step is left when rates above these bounds are refuted: 6.9 = ln(1000).
+inline constexpr double serious_bound_factor = 2.0;
+inline constexpr double serious_error_margin = 0.05;
+inline constexpr double serious_slow_margin = 0.08;
+inline constexpr double clear_evidence_needed = 6.9;
+inline constexpr double route_clear_evidence_needed = 3.0;
+// Replies that reach `clear_evidence_needed` when none is bad.
+inline constexpr double step_replies_needed = 135.0;
+// Routes below this share of the service's replies do not hold a move up.
+inline constexpr double rare_route_share = 0.01;
+
+// Slow replies: above factor times the tracked quantile of the old version.
+inline constexpr double slow_quantile = 0.95;
+inline constexpr double slow_threshold_factor = 2.0;
+inline constexpr std::size_t slow_threshold_warmup = 20;
 
 // A forwarded sub-request without a reply is dropped this long after its
 // deadline.
--- a/src/table.cpp
+++ b/src/table.cpp
@@ -2,6 +2,7 @@
 
 #include "table_fields.hpp"
 
+#include <algorithm>
 #include <set>
 
 namespace bramleymux
@@ -306,6 +307,24 @@
 
 } // namespace
 
+std::string
+serving_version(const std::vector<std::string>& versions,
+    const std::vector<move_row>& moves, const std::string& service)
+{
+    std::string serving = versions.empty() ? "" : versions.front();
+    for (const move_row& move : moves)
+    {
+        if (move.state == move_state::done && move.service == service &&
+            move.from == serving &&
+            std::find(versions.begin(), versions.end(), move.to) !=
+                versions.end())
+        {
+            serving = move.to;
+        }
+    }
+    return serving;
+}
+
 std::string
 array_name(row_kind kind)
 {
--- a/src/table.hpp
+++ b/src/table.hpp
@@ -152,6 +152,12 @@
 std::string
 row_key(row_kind kind, const nlohmann::json& row);
 
+/// Version that serves outside an active move: the first one named, then
+/// followed through the done moves in row order. Empty without versions.
+std::string
+serving_version(const std::vector<std::string>& versions,
+    const std::vector<move_row>& moves, const std::string& service);
+
 /// Name of the array that holds the rows of a kind, for example "zones".
 std::string
 array_name(row_kind kind);
--- a/src/table_validate.cpp
+++ b/src/table_validate.cpp
@@ -270,8 +270,6 @@
     const std::string place = "move/" + row.name;
     check_name(v, place, row.name);
     check_reference(v, place, "service", v.services, row.service);
-    check_reference(v, place, "from", v.versions, under(row.service, row.from));
-    check_reference(v, place, "to", v.versions, under(row.service, row.to));
     if (row.from == row.to)
     {
         add(v, place, "to", "must differ from \"from\"");
@@ -296,6 +294,29 @@
     }
 }
 
+/// Versions of an active move. The rows of past moves may outlive theirs.
+void
+check_move_versions(validation& v, const table& t, const move_row& row)
+{
+    const std::string place = "move/" + row.name;
+    check_reference(v, place, "from", v.versions, under(row.service, row.from));
+    check_reference(v, place, "to", v.versions, under(row.service, row.to));
+    std::vector<std::string> versions;
+    for (const version_row& version : t.versions)
+    {
+        if (version.service == row.service)
+        {
+            versions.push_back(version.name);
+        }
+    }
+    const std::string serving = serving_version(versions, t.moves, row.service);
+    if (!serving.empty() && row.from != serving)
+    {
+        add(v, place, "from",
+            "must be the version that serves now, \"" + serving + "\"");
+    }
+}
+
 void
 check_moves(validation& v, const table& t)
 {
@@ -309,6 +330,7 @@
         {
             continue;
         }
+        check_move_versions(v, t, row);
         const auto first = active.emplace(row.service, row.name);
         if (!first.second)
         {
