--- /dev/null
+++ b/src/idempotency.cpp
@@ -0,0 +1,402 @@
+#include "idempotency.hpp"
+
+#include "config.hpp"
+
+#include <openssl/evp.h>
+
+#include <algorithm>
+#include <array>
+
+namespace bramleymux
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+constexpr std::string_view hex_digits = "0123456789abcdef";
+
+std::string
+sha256(const std::string& text)
+{
+    std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
+    unsigned size = 0;
+    EVP_Digest(
+        text.data(), text.size(), digest.data(), &size, EVP_sha256(), nullptr);
+    std::string out;
+    for (unsigned i = 0; i < size; ++i)
+    {
+        out += hex_digits[digest[i] >> 4U];
+        out += hex_digits[digest[i] & 0x0fU];
+    }
+    return out;
+}
+
+json
+record_of(const claim& c, const char* state, const json& outcome)
+{
+    json record{{"attempt", c.attempt}, {"state", state},
+        {"fingerprint", c.fingerprint}, {"at_ms", c.at_ms}};
+    if (!outcome.is_null())
+    {
+        record["outcome"] = outcome;
+    }
+    return record;
+}
+
+std::string
+text_of(const json& record, const char* name)
+{
+    const auto at = record.find(name);
+    return at != record.end() && at->is_string() ? at->get<std::string>() : "";
+}
+
+bool
+is_lost(platform_errc error)
+{
+    return error == platform_errc::reply_lost ||
+           error == platform_errc::bad_reply;
+}
+
+claim_result
+result_of(claim_outcome outcome, std::string reason)
+{
+    claim_result result;
+    result.outcome = outcome;
+    result.reason = std::move(reason);
+    return result;
+}
+
+claim_result
+proceed(const claim& own, std::uint64_t version)
+{
+    claim_result result = result_of(claim_outcome::proceed, "");
+    result.claimed = own;
+    result.claimed.version = version;
+    return result;
+}
+
+std::string
+reason_of(platform_errc error)
+{
+    return "the platform answered: " +
+           std::string(platform_errc_names[static_cast<std::size_t>(error)]);
+}
+
+/// Outcome as it is stored; a large one is replaced by a note.
+json
+stored_outcome(const json& outcome)
+{
+    const std::string text =
+        outcome.dump(-1, ' ', false, json::error_handler_t::replace);
+    if (text.size() <= config::max_outcome_bytes)
+    {
+        return outcome.is_null() ? json::object() : outcome;
+    }
+    return {{"run", "run"}, {"too_large", true}};
+}
+
+} // namespace
+
+std::string
+record_key(const std::string& service, const std::string& key)
+{
+    return "idem/" + service + "/" + sha256(key);
+}
+
+idempotency::idempotency(platform_api& platform, std::uint64_t seed)
+    : platform_(platform), random_(seed)
+{
+}
+
+claim_result
+idempotency::claim_key(const claim_request& request, const call_time& time)
+{
+    const claim own{record_key(request.service, request.key), request.attempt,
+        sha256(request.body), time.unix_ms, 0};
+    bool in_doubt = false;
+    claim_result result;
+    for (std::size_t i = 0; i < config::max_claim_attempts; ++i)
+    {
+        const auto written =
+            platform_.put(own.key, record_of(own, "claimed", nullptr), 0);
+        if (written)
+        {
+            return proceed(own, written.value());
+        }
+        bool again = false;
+        if (written.error() == platform_errc::conflict ||
+            is_lost(written.error()))
+        {
+            in_doubt = in_doubt || is_lost(written.error());
+            result = read_duplicate(own, again);
+            if (result.outcome == claim_outcome::refused_not_run && !in_doubt &&
+                !again)
+            {
+                // The record of an earlier attempt exists, so it may have run.
+                result.outcome = claim_outcome::duplicate_running;
+            }
+            in_doubt = in_doubt || again;
+        }
+        else
+        {
+            result = result_of(
+                claim_outcome::refused_not_run, reason_of(written.error()));
+        }
+        if (!again)
+        {
+            break;
+        }
+        result = result_of(
+            claim_outcome::refused_not_run, "the claim could not be confirmed");
+    }
+    if (result.outcome == claim_outcome::refused_not_run && in_doubt)
+    {
+        keep({own, nullptr, time.now, {}}, time.now);
+    }
+    return result;
+}
+
+/// Decides by the existing record. `again` asks for another attempt.
+claim_result
+idempotency::read_duplicate(const claim& own, bool& again)
+{
+    const auto read = platform_.get(own.key);
+    if (!read)
+    {
+        again = read.error() == platform_errc::not_found;
+        return result_of(
+            claim_outcome::refused_not_run, reason_of(read.error()));
+    }
+    const json& record = read.value().value;
+    const std::string attempt = text_of(record, "attempt");
+    const std::string state = text_of(record, "state");
+    if (attempt == own.attempt && state == "claimed")
+    {
+        return proceed(own, read.value().version);
+    }
+    if (state == "void" || (state == "claimed" && is_void(attempt)))
+    {
+        return take_over(own, read.value().version, again);
+    }
+    if (text_of(record, "fingerprint") != own.fingerprint)
+    {
+        return result_of(claim_outcome::mismatch,
+            "the idempotency key was used with another request");
+    }
+    if (state != "done")
+    {
+        return result_of(claim_outcome::duplicate_running,
+            "an earlier attempt with this key may have run");
+    }
+    claim_result result = result_of(claim_outcome::duplicate_done, "");
+    result.stored = record.value("outcome", json::object());
+    return result;
+}
+
+/// Replaces the record of an attempt that never ran.
+claim_result
+idempotency::take_over(const claim& own, std::uint64_t version, bool& again)
+{
+    const auto written =
+        platform_.put(own.key, record_of(own, "claimed", nullptr), version);
+    if (written)
+    {
+        return proceed(own, written.value());
+    }
+    // The record is read again; a write that took effect is recognised by its
+    // attempt id.
+    again =
+        written.error() == platform_errc::conflict || is_lost(written.error());
+    return result_of(
+        claim_outcome::refused_not_run, reason_of(written.error()));
+}
+
+void
+idempotency::complete(const claim& done, run_state run,
+    const nlohmann::json& outcome, const call_time& time)
+{
+    if (run == run_state::unknown)
+    {
+        return;
+    }
+    pending_write write{done,
+        run == run_state::not_run ? json(nullptr) : stored_outcome(outcome),
+        time.now, {}};
+    const json next = record_of(
+        done, write.outcome.is_null() ? "void" : "done", write.outcome);
+    if (!platform_.put(done.key, next, done.version))
+    {
+        keep(std::move(write), time.now);
+    }
+}
+
+/// True when nothing remains to be written.
+bool
+idempotency::write_pending(const pending_write& write)
+{
+    const claim& c = write.target;
+    const json next =
+        record_of(c, write.outcome.is_null() ? "void" : "done", write.outcome);
+    const auto read = platform_.get(c.key);
+    if (!read && read.error() != platform_errc::not_found)
+    {
+        return false;
+    }
+    // A void also creates the record when it does not exist, and replaces the
+    // void of another attempt: a claim that is still under way in the network
+    // cannot take effect after that.
+    const std::string state = read ? text_of(read.value().value, "state") : "";
+    const bool is_own =
+        read && text_of(read.value().value, "attempt") == c.attempt;
+    const bool may_write =
+        !read || (is_own && state == "claimed") ||
+        (!is_own && state == "void" && write.outcome.is_null());
+    if (!may_write)
+    {
+        return true;
+    }
+    const auto written =
+        platform_.put(c.key, next, read ? read.value().version : 0);
+    return written.has_value();
+}
+
+void
+idempotency::keep(pending_write write, monotonic_time now)
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    write.due = now + next_delay(write.delays, random_);
+    if (pending_.size() == config::max_pending_records)
+    {
+        // The oldest record stays claimed; a repeat is told run=unknown.
+        pending_.pop_front();
+    }
+    pending_.push_back(std::move(write));
+}
+
+std::size_t
+idempotency::retry_pending(const call_time& time)
+{
+    std::vector<pending_write> due;
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        for (const pending_write& w : pending_)
+        {
+            if (w.due <= time.now && due.size() < config::pending_batch)
+            {
+                due.push_back(w);
+            }
+        }
+    }
+    std::size_t resolved = 0;
+    for (const pending_write& w : due)
+    {
+        const bool is_old =
+            time.unix_ms - w.target.at_ms >
+            std::chrono::milliseconds(config::idempotency_expiry).count();
+        const bool is_done = is_old || write_pending(w);
+        const std::lock_guard<std::mutex> lock(mutex_);
+        const auto at = std::find_if(pending_.begin(), pending_.end(),
+            [&](const pending_write& p)
+            { return p.target.attempt == w.target.attempt; });
+        if (at == pending_.end())
+        {
+            continue;
+        }
+        if (is_done)
+        {
+            pending_.erase(at);
+            ++resolved;
+        }
+        else
+        {
+            at->due = time.now + next_delay(at->delays, random_);
+        }
+    }
+    return resolved;
+}
+
+std::vector<void_note>
+idempotency::open_voids() const
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    std::vector<void_note> out;
+    for (const pending_write& w : pending_)
+    {
+        if (w.outcome.is_null())
+        {
+            out.push_back({w.target.key, w.target.attempt, w.target.fingerprint,
+                w.target.at_ms});
+        }
+    }
+    return out;
+}
+
+void
+idempotency::add_void(const void_note& note, const call_time& time)
+{
+    if (!is_void(note.attempt))
+    {
+        keep({{note.key, note.attempt, note.fingerprint, note.at_ms, 0},
+                 nullptr, time.now, {}},
+            time.now);
+    }
+}
+
+std::size_t
+idempotency::pending() const
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return pending_.size();
+}
+
+bool
+idempotency::is_void(const std::string& attempt) const
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return std::any_of(pending_.begin(), pending_.end(),
+        [&](const pending_write& w)
+        { return w.outcome.is_null() && w.target.attempt == attempt; });
+}
+
+std::size_t
+expire_records(platform_api& platform, const std::vector<std::string>& services,
+    expiry_cursor& cursor, std::int64_t unix_ms)
+{
+    if (services.empty())
+    {
+        return 0;
+    }
+    cursor.service %= services.size();
+    const std::string prefix = "idem/" + services[cursor.service] + "/" +
+                               hex_digits[cursor.group >> 4U & 0x0fU] +
+                               hex_digits[cursor.group & 0x0fU];
+    const auto listed = platform.list(prefix);
+    if (!listed)
+    {
+        return 0;
+    }
+    const std::int64_t oldest =
+        unix_ms - std::chrono::milliseconds(config::idempotency_expiry).count();
+    std::size_t deleted = 0;
+    for (const object& o : listed.value())
+    {
+        const auto at = o.value.find("at_ms");
+        if (at == o.value.end() || !at->is_number_integer() ||
+            at->get<std::int64_t>() > oldest)
+        {
+            continue;
+        }
+        if (deleted == config::expiry_batch)
+        {
+            return deleted; // the rest of the group follows in the next call
+        }
+        deleted += platform.remove(o.key, o.version) ? 1 : 0;
+    }
+    cursor.group = (cursor.group + 1) % 256;
+    cursor.service += cursor.group == 0 ? 1 : 0;
+    return deleted;
+}
+
+} // namespace bramleymux
--- /dev/null
+++ b/src/platform_lease.cpp
@@ -0,0 +1,202 @@
+#include "platform_lease.hpp"
+
+#include "config.hpp"
+
+namespace bramleymux
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+std::string
+holder_of(const json& value)
+{
+    const auto at = value.find("holder");
+    return at != value.end() && at->is_string() ? at->get<std::string>() : "";
+}
+
+std::uint64_t
+term_of(const json& value)
+{
+    const auto at = value.find("term");
+    return at != value.end() && at->is_number_unsigned()
+               ? at->get<std::uint64_t>()
+               : 0;
+}
+
+void
+lose(platform_lease& lease, lease_state state)
+{
+    lease.state = state;
+    lease.valid_until = {};
+}
+
+/// Reads the object; false when it cannot be read.
+bool
+observe(platform_lease& lease, platform_api& platform, monotonic_time now)
+{
+    const auto read = platform.get(lease.key);
+    if (!read && read.error() != platform_errc::not_found)
+    {
+        return false;
+    }
+    const std::uint64_t version = read ? read.value().version : 0;
+    const json value = read ? read.value().value : json::object();
+    if (version != lease.version || lease.state == lease_state::free)
+    {
+        lease.seen = now;
+    }
+    lease.version = version;
+    lease.term = term_of(value);
+    lease.owner = holder_of(value);
+    lease.state =
+        lease.owner.empty() ? lease_state::free : lease_state::followed;
+    return true;
+}
+
+/// Writes the object as the holder. The lease runs from the time of the send.
+void
+write_lease(platform_lease& lease, platform_api& platform, std::uint64_t term,
+    const monotonic_source& clock)
+{
+    const monotonic_time sent = clock();
+    const json value{{"holder", lease.holder}, {"term", term},
+        {"duration_ms",
+            std::chrono::milliseconds(config::controller_lease).count()}};
+    const auto written = platform.put(lease.key, value, lease.version);
+    std::uint64_t version = written ? written.value() : 0;
+    if (!written && (written.error() == platform_errc::reply_lost ||
+                        written.error() == platform_errc::bad_reply))
+    {
+        const auto read = platform.get(lease.key);
+        if (read && read.value().value == value &&
+            read.value().version != lease.version)
+        {
+            version = read.value().version;
+        }
+    }
+    if (version != 0)
+    {
+        lease.state = lease_state::held;
+        lease.term = term;
+        lease.version = version;
+        lease.valid_until =
+            sent + config::controller_lease - config::lease_margin;
+        lease.next_renewal = sent + config::lease_renewal;
+    }
+    else if (!written && written.error() == platform_errc::conflict)
+    {
+        const platform_lease before = lease;
+        lose(lease, lease_state::followed);
+        if (observe(lease, platform, clock()) &&
+            before.state == lease_state::held && lease.owner == lease.holder &&
+            lease.term == before.term)
+        {
+            // An earlier renewal arrived late. It does not extend the lease.
+            lease.state = lease_state::held;
+            lease.valid_until = before.valid_until;
+        }
+    }
+}
+
+bool
+may_take(const platform_lease& lease, monotonic_time now)
+{
+    return lease.state == lease_state::free ||
+           now - lease.seen >= config::controller_lease;
+}
+
+} // namespace
+
+platform_lease
+make_lease(std::string key, std::string holder)
+{
+    platform_lease lease;
+    lease.key = std::move(key);
+    lease.holder = std::move(holder);
+    return lease;
+}
+
+bool
+holds(const platform_lease& lease, monotonic_time now)
+{
+    return lease.state == lease_state::held && now < lease.valid_until;
+}
+
+lease_state
+maintain_lease(platform_lease& lease, platform_api& platform,
+    const monotonic_source& clock)
+{
+    const monotonic_time now = clock();
+    if (lease.state == lease_state::held)
+    {
+        if (!holds(lease, now))
+        {
+            lose(lease, lease_state::followed);
+            lease.seen = now;
+        }
+        else if (now >= lease.next_renewal)
+        {
+            write_lease(lease, platform, lease.term, clock);
+        }
+        return lease.state;
+    }
+    if (observe(lease, platform, now) && may_take(lease, now))
+    {
+        write_lease(lease, platform, lease.term + 1, clock);
+    }
+    return lease.state;
+}
+
+void
+release_lease(platform_lease& lease, platform_api& platform)
+{
+    if (lease.state == lease_state::held)
+    {
+        // Lost when the platform is down: the lease then ends by time.
+        (void)platform.put(
+            lease.key, {{"holder", ""}, {"term", lease.term}}, lease.version);
+    }
+    lose(lease, lease_state::free);
+}
+
+fenced_outcome
+fenced_put(platform_lease& lease, platform_api& platform,
+    const std::string& key, const nlohmann::json& value,
+    const monotonic_source& clock)
+{
+    if (!holds(lease, clock()))
+    {
+        return fenced_outcome::lease_lost;
+    }
+    const auto read = platform.get(key);
+    if (!read && read.error() != platform_errc::not_found)
+    {
+        return fenced_outcome::not_written;
+    }
+    if (read && term_of(read.value().value) > lease.term)
+    {
+        lose(lease, lease_state::followed);
+        return fenced_outcome::lease_lost;
+    }
+    // The read may have taken long; the check before the send counts.
+    if (!holds(lease, clock()))
+    {
+        return fenced_outcome::lease_lost;
+    }
+    const auto written =
+        platform.put(key, {{"term", lease.term}, {"value", value}},
+            read ? read.value().version : 0);
+    if (written)
+    {
+        return fenced_outcome::written;
+    }
+    return written.error() == platform_errc::reply_lost ||
+                   written.error() == platform_errc::bad_reply
+               ? fenced_outcome::unknown
+               : fenced_outcome::not_written;
+}
+
+} // namespace bramleymux
--- a/tests/fake_platform.hpp
+++ b/tests/fake_platform.hpp
@@ -18,7 +18,7 @@
     int lose_replies = 0;  ///< next writes take effect, their reply is lost
     int lose_requests = 0; ///< next writes are lost without effect
     int delay_writes = 0;  ///< next writes look lost and wait for `deliver`
-    bool down_after_loss = false; ///< an outage follows a lost reply
+    bool down_after_loss = false; ///< an outage follows a loss or conflict
     std::function<void(const std::string&)> before_write; ///< runs once
     std::map<std::string, bramleymux::object> objects;
     std::size_t reads = 0;
@@ -150,6 +150,7 @@
             down = down || down_after_loss;
             return errc::reply_lost;
         }
+        down = down || (!applied && down_after_loss);
         return applied;
     }
 
