--- a/src/ownership_codec.cpp
+++ b/src/ownership_codec.cpp
@@ -127,6 +127,7 @@
     return message_of(peer_message_type::view_release, release.from,
         {{"to", ref_to_json(release.to)}, {"n", release.number},
             {"u", release.up_to}, {"l", release.leaving},
+            {"m", refs_to_json(release.members)},
             {"w", running_to_json(release.running)}});
 }
 
@@ -165,6 +166,7 @@
         {
             body.at("u").get_to(out.up_to);
             body.at("l").get_to(out.leaving);
+            out.members = refs_from_json(body.at("m"));
             out.running = running_from_json(body.at("w"));
         });
 }
