Measure a link's queue on the io thread

websocketpp reads the buffered amount of a connection without a lock, a data race with the io thread. The io thread now measures it under the channel's mutex, and senders add to the last measurement.

Test: [peer_link] passes, five runs in a row, and without a report under ThreadSanitizer (the link's sources and tests instrumented).

--- a/src/peer_socket.cpp
+++ b/src/peer_socket.cpp
@@ -10,6 +10,7 @@
 #include <netinet/tcp.h>
 
 #include <algorithm>
+#include <atomic>
 #include <condition_variable>
 #include <mutex>
 #include <thread>
@@ -77,11 +78,12 @@
 }
 
 template <class Connection>
-class channel final : public peer_channel
+class channel final : public peer_channel,
+                      public std::enable_shared_from_this<channel<Connection>>
 {
 public:
-    explicit channel(const std::shared_ptr<Connection>& connection)
-        : connection_(connection)
+    channel(asio::io_context& io, const std::shared_ptr<Connection>& connection)
+        : io_(io), connection_(connection)
     {
     }
 
@@ -89,15 +91,24 @@
     send(const std::string& bytes) override
     {
         const auto connection = connection_.lock();
-        return connection &&
-               !connection->send(bytes, websocketpp::frame::opcode::binary);
+        if (!connection)
+        {
+            return false;
+        }
+        const std::lock_guard lock(mutex_);
+        queued_ += bytes.size();
+        return !connection->send(bytes, websocketpp::frame::opcode::binary);
     }
 
     std::size_t
     queued_bytes() const override
     {
-        const auto connection = connection_.lock();
-        return connection ? connection->get_buffered_amount() : 0;
+        if (!measuring_.exchange(true))
+        {
+            asio::post(
+                io_, [self = this->shared_from_this()] { self->measure(); });
+        }
+        return queued_;
     }
 
     void
@@ -106,6 +117,7 @@
         if (const auto connection = connection_.lock())
         {
             std::error_code ignored;
+            const std::lock_guard lock(mutex_);
             connection->close(
                 websocketpp::close::status::going_away, "", ignored);
         }
@@ -134,7 +146,25 @@
     }
 
 private:
+    /// websocketpp reads its buffered amount without a lock. The io thread is
+    /// the only one that reduces it, and the mutex keeps other threads from
+    /// raising it meanwhile.
+    void
+    measure() const
+    {
+        measuring_ = false;
+        if (const auto connection = connection_.lock())
+        {
+            const std::lock_guard lock(mutex_);
+            queued_ = connection->get_buffered_amount();
+        }
+    }
+
+    asio::io_context& io_;
     std::weak_ptr<Connection> connection_; // owned by the pending operations
+    mutable std::mutex mutex_;
+    mutable std::atomic<std::size_t> queued_{0}; // at the last measurement
+    mutable std::atomic<bool> measuring_{false};
 };
 
 template <class ServerConfig, class ClientConfig>
@@ -302,7 +332,7 @@
     {
         using connection_type = typename ConnectionPtr::element_type;
         const peer_channel_ptr made =
-            std::make_shared<channel<connection_type>>(connection);
+            std::make_shared<channel<connection_type>>(io_, connection);
         connection->set_message_handler(
             [this, made](const websocketpp::connection_hdl&,
                 const typename connection_type::message_ptr& message)
