--- a/src/blackboard.hpp
+++ b/src/blackboard.hpp
@@ -6,6 +6,7 @@
 #include "owner_map.hpp"
 #include "published.hpp"
 #include "routing.hpp"
+#include "version_move.hpp"
 
 #include <bramleymux/types.hpp>
 
@@ -19,14 +20,6 @@
 namespace bramleymux
 {
 
-/// Which version takes a service's queries.
-struct version_choice
-{
-    version_handle from; ///< invalid: no move, any version
-    version_handle to;
-    double share = 0.0; ///< of queries that go to `to`
-};
-
 /// What the entry VM measures of each target.
 class target_board
 {
@@ -115,7 +108,7 @@
     published<routing_index> routes;
     published<std::vector<target_facts>> facts; ///< by target handle
     published<owner_map> owners;
-    published<std::vector<version_choice>> versions; ///< by service handle
+    published<std::vector<version_share>> versions; ///< by service handle
     target_board targets;
     load_board load;
 };
--- a/src/config.hpp
+++ b/src/config.hpp
@@ -190,7 +190,7 @@
 inline constexpr auto controller_lease = 5s;
 inline constexpr auto lease_renewal = 1500ms;
 // A holder stops this long before its lease ends, for clocks that drift.
-inline constexpr auto lease_margin = 500ms;
+inline constexpr auto controller_lease_margin = 500ms;
 inline constexpr auto backoff_base = 100ms;
 inline constexpr auto backoff_cap = 10s;
 // Time over which call rates grow back to normal after an outage.
@@ -278,6 +278,13 @@
 inline constexpr auto platform_backoff_base = 50ms;
 inline constexpr auto platform_backoff_cap = 2s;
 
+// Duties of the controller thread.
+inline constexpr auto duties_period = 250ms;
+inline constexpr auto save_by_others_delay = 3s;
+inline constexpr auto status_period = 10s;
+inline constexpr auto expiry_period = 1s;
+inline constexpr std::size_t void_copies = 2;
+
 // Entry VM. Time kept back from a caller's deadline for the merge and the
 // way back of the answer.
 inline constexpr auto entry_hop_cost = 2ms;
--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -4,9 +4,12 @@
 #include "caller_server.hpp"
 #include "fleet_controller.hpp"
 #include "log_events.hpp"
+#include "move_controller.hpp"
 #include "peer_link.hpp"
 #include "platform_client.hpp"
 #include "platform_controller.hpp"
+#include "platform_duties.hpp"
+#include "query_write.hpp"
 #include "target_client.hpp"
 #include "target_poller.hpp"
 
@@ -97,6 +100,14 @@
     on_message(peer_message message);
     void
     on_vm_list(const std::vector<vm_list_entry>& list);
+    void
+    on_control_message(const peer_message& message);
+    void
+    on_frame(const std::vector<vm_identity>& live);
+    std::vector<vm_identity>
+    live_peers() const;
+    nlohmann::json
+    status_object() const;
     bool
     polls(const catalog_target& target);
     std::size_t
@@ -112,14 +123,23 @@
     ownership_guard ownership;
     target_client targets;
     platform_client platform;
+    shared_budget budget;
+    budgeted_platform record_calls;
+    budgeted_platform table_calls;
+    budgeted_platform status_calls;
+    budgeted_platform lease_calls;
+    budgeted_platform list_calls;
+    idempotency records;
     target_executor executor;
     table_controller tables;
     report_controller reports;
     peer_link peers;
     dispatcher sink;
+    move_controller moves;
     fleet_controller fleet;
     target_poller poller;
     platform_controller platform_reader;
+    platform_duties duties;
     caller_server callers;
     admin_server admin;
     std::unique_ptr<http_server> caller_http;
@@ -135,6 +155,15 @@
       targets(direct ? v.baseline_limit + spare_connections
                      : std::numeric_limits<std::size_t>::max()),
       platform(*parse_http_address(v.platform_address)),
+      budget(make_budget(1, monotonic_clock::now()), self.incarnation),
+      record_calls(
+          platform, budget, platform_call::idempotency, monotonic_clock::now),
+      table_calls(platform, budget, platform_call::table, monotonic_clock::now),
+      status_calls(
+          platform, budget, platform_call::status, monotonic_clock::now),
+      lease_calls(platform, budget, platform_call::lease, monotonic_clock::now),
+      list_calls(platform, budget, platform_call::list, monotonic_clock::now),
+      records(record_calls, self.incarnation),
       executor(targets, make_gate(), make_executor_options()),
       tables(board, executor, gate, counters),
       reports(board, executor, self.id, direct),
@@ -145,18 +174,28 @@
           [this](const std::string& name)
           { return tables.find_target_name(name); },
           direct),
+      moves(board, reports, peers, self),
       fleet(
           {board, peers, sink, executor, tables, reports, ownership, counters},
-          self, self.incarnation, direct, {}, {}),
+          self, self.incarnation, direct,
+          [this](const peer_message& m) { on_control_message(m); },
+          [this](const std::vector<vm_identity>& live) { on_frame(live); }),
       poller(
           board, executor, reports, targets,
           [this](const catalog_target& t) { return polls(t); }, self.id,
           [this](const catalog_target& t) { return wanted_connections(t); }),
-      platform_reader(platform, fleet, tables, counters, self.incarnation,
+      platform_reader(table_calls, list_calls, fleet, tables, counters,
+          self.incarnation,
           [this](const std::vector<vm_list_entry>& list) { on_vm_list(list); }),
+      duties(
+          {table_calls, lease_calls, status_calls, list_calls}, records, moves,
+          board, peers, self, [this] { return live_peers(); },
+          [this] { return status_object(); }),
       callers(v, self.id, self.incarnation, make_query_context(), gate,
-          [](const caller_request&) { return query_result{}; }),
-      admin({board, platform, fleet, reports, executor, counters, self.id, {}},
+          [this](const caller_request& r)
+          { return run_write(make_query_context(), records, r); }),
+      admin({board, table_calls, fleet, reports, executor, counters, self.id,
+                [this] { return moves.status(); }},
           v.admin_token_file)
 {
 }
@@ -195,7 +234,8 @@
 query_context
 daemon::parts::make_query_context()
 {
-    query_context out{board, sink, counters, spans, values.policy, &gate, {}};
+    query_context out{board, sink, counters, spans, values.policy, &gate,
+        [this](const version_reply& r) { moves.note_reply(r); }};
     return out;
 }
 
@@ -215,6 +255,50 @@
     }
 }
 
+void
+daemon::parts::on_control_message(const peer_message& message)
+{
+    if (message.type == peer_message_type::claim_void)
+    {
+        duties.on_message(message);
+        return;
+    }
+    moves.on_message(message);
+}
+
+void
+daemon::parts::on_frame(const std::vector<vm_identity>& live)
+{
+    moves.frame(live, monotonic_clock::now());
+    budget.set_fleet(live.size() + 1);
+}
+
+std::vector<vm_identity>
+daemon::parts::live_peers() const
+{
+    std::vector<vm_identity> out;
+    for (const known_vm& vm : fleet.status().vms)
+    {
+        if (vm.presence == vm_presence::live && vm.identity.id != self.id)
+        {
+            out.push_back(vm.identity);
+        }
+    }
+    return out;
+}
+
+/// What the lease holder stores in the platform for operators.
+nlohmann::json
+daemon::parts::status_object() const
+{
+    const std::uint64_t version = counters.read()[counter::table_version];
+    const in_force_report report = fleet.in_force_of(version);
+    return {{"by", self.id}, {"table_version", version},
+        {"everywhere", report.everywhere()}, {"applied", report.applied},
+        {"pending", report.pending}, {"cut_off", report.cut_off},
+        {"unconfirmed", report.unconfirmed}, {"moves", moves.status()}};
+}
+
 /// Targets may be on the VM list under their own names.
 void
 daemon::parts::on_vm_list(const std::vector<vm_list_entry>& list)
@@ -257,6 +341,7 @@
     p.fleet.post_vm_list(seed_entries(p.values));
     p.fleet.start();
     p.platform_reader.start();
+    p.duties.start();
     p.admin_http = std::make_unique<http_server>(admin_options(p.values),
         [&p](const server_request& r) { return p.admin.handle(r); });
     p.caller_http = std::make_unique<http_server>(caller_options(p.values),
@@ -270,6 +355,7 @@
 daemon::~daemon()
 {
     parts& p = *parts_;
+    p.duties.stop();
     p.platform_reader.stop();
     p.poller.stop();
     p.fleet.stop();
@@ -291,6 +377,7 @@
     p.fleet.release_targets(monotonic_clock::now() + handover_time);
     p.executor.drain();
     const bool work_done = p.executor.wait_idle(until);
+    p.duties.stop();
     p.fleet.leave();
     p.caller_http->stop();
     p.admin_http->stop();
--- a/src/ownership_codec.cpp
+++ b/src/ownership_codec.cpp
@@ -128,6 +128,7 @@
         {{"to", ref_to_json(release.to)}, {"n", release.number},
             {"u", release.up_to}, {"l", release.leaving},
             {"m", refs_to_json(release.members)},
+            {"m", refs_to_json(release.members)},
             {"w", running_to_json(release.running)}});
 }
 
@@ -167,6 +168,7 @@
             body.at("u").get_to(out.up_to);
             body.at("l").get_to(out.leaving);
             out.members = refs_from_json(body.at("m"));
+            out.members = refs_from_json(body.at("m"));
             out.running = running_from_json(body.at("w"));
         });
 }
--- a/src/peer.hpp
+++ b/src/peer.hpp
@@ -31,13 +31,14 @@
     target_report,
     evidence,
     withdrawal,
+    claim_void,
     count
 };
 
 inline constexpr name_table<peer_message_type> peer_message_type_names{"hello",
     "probe", "ack", "probe_request", "leave", "view_request", "view_ack",
     "view_release", "sub_batch", "sub_reply", "cancel", "table",
-    "target_report", "evidence", "withdrawal"};
+    "target_report", "evidence", "withdrawal", "claim_void"};
 
 /// Identity of one run of one VM.
 struct vm_identity
--- a/src/platform_controller.cpp
+++ b/src/platform_controller.cpp
@@ -9,11 +9,12 @@
 namespace bramleymux
 {
 
-platform_controller::platform_controller(platform_api& platform,
-    fleet_controller& fleet, table_controller& tables, metrics& counters,
-    std::uint64_t seed, vm_list_observer on_list)
-    : platform_(platform), fleet_(fleet), tables_(tables), metrics_(counters),
-      on_list_(std::move(on_list)), table_random_(seed), list_random_(seed + 1)
+platform_controller::platform_controller(platform_api& tables_api,
+    platform_api& list_api, fleet_controller& fleet, table_controller& tables,
+    metrics& counters, std::uint64_t seed, vm_list_observer on_list)
+    : tables_api_(tables_api), list_api_(list_api), fleet_(fleet),
+      tables_(tables), metrics_(counters), on_list_(std::move(on_list)),
+      table_random_(seed), list_random_(seed + 1)
 {
 }
 
@@ -85,7 +86,7 @@
     seen = std::max(seen, tables_.version());
     if (seen == 0)
     {
-        const auto value = platform_.get(std::string(table_key));
+        const auto value = tables_api_.get(std::string(table_key));
         const bool reachable =
             value || value.error() == platform_errc::not_found;
         note_result(reachable);
@@ -96,7 +97,7 @@
         }
         return static_cast<bool>(value);
     }
-    const auto value = platform_.watch(
+    const auto value = tables_api_.watch(
         std::string(table_key), seen, config::table_watch_timeout);
     note_result(static_cast<bool>(value));
     if (value && value.value())
@@ -139,7 +140,7 @@
     std::uint32_t failures = 0;
     for (;;)
     {
-        const auto list = platform_.vms();
+        const auto list = list_api_.vms();
         note_result(static_cast<bool>(list));
         duration wait = config::vm_list_period;
         if (list)
--- a/src/platform_controller.hpp
+++ b/src/platform_controller.hpp
@@ -20,9 +20,9 @@
     using vm_list_observer =
         std::function<void(const std::vector<vm_list_entry>&)>;
 
-    platform_controller(platform_api& platform, fleet_controller& fleet,
-        table_controller& tables, metrics& counters, std::uint64_t seed,
-        vm_list_observer on_list);
+    platform_controller(platform_api& tables_api, platform_api& list_api,
+        fleet_controller& fleet, table_controller& tables, metrics& counters,
+        std::uint64_t seed, vm_list_observer on_list);
     ~platform_controller();
 
     platform_controller(const platform_controller&) = delete;
@@ -48,7 +48,8 @@
     bool
     pause(duration time);
 
-    platform_api& platform_;
+    platform_api& tables_api_;
+    platform_api& list_api_;
     fleet_controller& fleet_;
     table_controller& tables_;
     metrics& metrics_;
--- /dev/null
+++ b/src/platform_duties.cpp
@@ -0,0 +1,224 @@
+#include "platform_duties.hpp"
+
+#include "config.hpp"
+#include "log_events.hpp"
+#include "table_edit.hpp"
+
+namespace bramleymux
+{
+
+using nlohmann::json;
+
+namespace
+{
+
+std::int64_t
+unix_ms()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+        std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
+} // namespace
+
+platform_duties::platform_duties(duty_platforms platforms, idempotency& records,
+    move_controller& moves, blackboard& board, peer_transport& peers,
+    vm_identity self, peer_list live_peers, status_source status)
+    : platforms_(platforms), records_(records), moves_(moves), board_(board),
+      peers_(peers), self_(std::move(self)), live_peers_(std::move(live_peers)),
+      status_(std::move(status)),
+      lease_(make_lease(std::string(controller_lease_key),
+          self_.id + "/" + std::to_string(self_.incarnation)))
+{
+}
+
+platform_duties::~platform_duties()
+{
+    stop();
+}
+
+void
+platform_duties::start()
+{
+    thread_ = std::thread([this] { run(); });
+}
+
+void
+platform_duties::stop()
+{
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        stopping_ = true;
+    }
+    wake_.notify_all();
+    if (thread_.joinable())
+    {
+        thread_.join();
+    }
+}
+
+bool
+platform_duties::holds_lease() const
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return holds_;
+}
+
+void
+platform_duties::run()
+{
+    for (;;)
+    {
+        const monotonic_time now = monotonic_clock::now();
+        maintain_lease(lease_, platforms_.lease, monotonic_clock::now);
+        const bool held = holds(lease_, monotonic_clock::now());
+        records_.retry_pending({now, unix_ms()});
+        share_voids();
+        save_moves(now);
+        if (held)
+        {
+            hold_duties(now);
+        }
+        std::unique_lock<std::mutex> lock(mutex_);
+        if (held != holds_)
+        {
+            holds_ = held;
+            log_event(held ? event::controller_lease_gained
+                           : event::controller_lease_lost,
+                "term=" + std::to_string(lease_.term));
+        }
+        wake_.wait_for(
+            lock, config::duties_period, [this] { return stopping_; });
+        if (stopping_)
+        {
+            break;
+        }
+    }
+    release_lease(lease_, platforms_.lease);
+}
+
+table_edit
+platform_duties::identity_of(const std::string& purpose) const
+{
+    table_edit edit;
+    edit.id = self_.id + "-" + std::to_string(self_.incarnation) + "-" +
+              purpose + "-" + std::to_string(edits_);
+    edit.author = "bramleymux/" + self_.id;
+    edit.at_ms = unix_ms();
+    return edit;
+}
+
+/// The lease holder saves at once; the others after a delay, in case there is
+/// no holder or it cannot reach the platform.
+void
+platform_duties::save_moves(monotonic_time now)
+{
+    const std::vector<withdrawal> withdrawals = moves_.withdrawals_to_save();
+    const std::vector<std::string> completions = moves_.completions_to_save();
+    if (withdrawals.empty() && completions.empty())
+    {
+        unsaved_since_ = {};
+        return;
+    }
+    if (unsaved_since_ == monotonic_time{})
+    {
+        unsaved_since_ = now;
+    }
+    const bool due = holds(lease_, now) ||
+                     now - unsaved_since_ >= config::save_by_others_delay;
+    if (!due)
+    {
+        return;
+    }
+    for (const withdrawal& w : withdrawals)
+    {
+        ++edits_;
+        // A withdrawal that was not saved stays in the list and is tried
+        // again.
+        withdraw_move(
+            platforms_.table, w.move, w.cause, identity_of("withdraw"));
+    }
+    for (const std::string& move : completions)
+    {
+        ++edits_;
+        finish_move(platforms_.table, move, identity_of("finish"));
+    }
+}
+
+void
+platform_duties::share_voids()
+{
+    json items = json::array();
+    for (const void_note& note : records_.open_voids())
+    {
+        items.push_back({{"key", note.key}, {"attempt", note.attempt},
+            {"fingerprint", note.fingerprint}, {"at_ms", note.at_ms}});
+    }
+    if (items.empty())
+    {
+        return;
+    }
+    const peer_message message{peer_message_type::claim_void, self_.id,
+        self_.incarnation, json{{"items", std::move(items)}}};
+    std::size_t sent = 0;
+    for (const vm_identity& peer : live_peers_())
+    {
+        if (peers_.send(peer, message) && ++sent == config::void_copies)
+        {
+            break;
+        }
+    }
+}
+
+void
+platform_duties::on_message(const peer_message& message)
+{
+    try
+    {
+        for (const json& item : message.body.at("items"))
+        {
+            records_.add_void({item.at("key").get<std::string>(),
+                                  item.at("attempt").get<std::string>(),
+                                  item.at("fingerprint").get<std::string>(),
+                                  item.at("at_ms").get<std::int64_t>()},
+                {monotonic_clock::now(), unix_ms()});
+        }
+    }
+    catch (const json::exception&)
+    {
+        log_event(event::peer_message_invalid, "type=claim_void");
+    }
+}
+
+void
+platform_duties::hold_duties(monotonic_time now)
+{
+    if (now >= next_status_)
+    {
+        next_status_ = now + config::status_period;
+        fenced_put(lease_, platforms_.status, "status/fleet", status_(),
+            monotonic_clock::now);
+    }
+    if (now >= next_expiry_)
+    {
+        next_expiry_ = now + config::expiry_period;
+        std::vector<std::string> services;
+        if (const auto topology = board_.topology.get())
+        {
+            for (const catalog_service& service : topology->services)
+            {
+                if (service.self.is_valid())
+                {
+                    services.push_back(service.name);
+                }
+            }
+        }
+        if (!services.empty())
+        {
+            expire_records(platforms_.list, services, expiry_, unix_ms());
+        }
+    }
+}
+
+} // namespace bramleymux
--- a/src/query.hpp
+++ b/src/query.hpp
@@ -32,17 +32,7 @@
     nlohmann::json rows = nlohmann::json::array();
 };
 
-/// What one sub-request showed about its target's version.
-struct sub_outcome
-{
-    service_handle service;
-    route_handle route;
-    version_handle version;
-    miss_reason error = miss_reason::none;
-    duration elapsed{}; ///< at the target when it replied, else since the send
-};
-
-using outcome_observer = std::function<void(const sub_outcome&)>;
+using reply_observer = std::function<void(const version_reply&)>;
 
 /// What the query path depends on.
 struct query_context
@@ -53,21 +43,15 @@
     tracer& spans;
     policy_kind policy = policy_kind::adaptive;
     admission_gate* gate = nullptr;
-    outcome_observer observe; ///< called for each reply
+    reply_observer observe; ///< called for each reply
 };
 
 /// Runs an idempotent query over all shards of one snapshot.
 query_result
 run_read(const query_context& context, const caller_request& request);
 
-/// One attempt of a non-idempotent request on the target of one shard.
-/// Nothing is sent twice once a byte may have reached a target.
-query_result
-run_write(const query_context& context, const caller_request& request);
-
-/// Caller-visible name of the version that a query should use; invalid for
-/// any.
-version_handle
+/// Versions that a query may use; invalid handles for any.
+version_choice
 choose_query_version(
     const blackboard& board, service_handle service, const std::string& id);
 
--- a/src/query_common.cpp
+++ b/src/query_common.cpp
@@ -2,8 +2,6 @@
 
 #include "config.hpp"
 
-#include <xxhash.h>
-
 namespace bramleymux
 {
 
@@ -44,6 +42,27 @@
     return in;
 }
 
+namespace
+{
+
+/// A version that is not proven, or was withdrawn, takes no query that did not
+/// choose it.
+void
+exclude_other_versions(const query_inputs& in, target_views& views)
+{
+    for (const target_handle target : in.service->targets)
+    {
+        const version_handle version =
+            in.topology->targets[target.index].version;
+        if (version != in.versions.preferred && version != in.versions.fallback)
+        {
+            views[target.index].unusable = miss_reason::no_replica;
+        }
+    }
+}
+
+} // namespace
+
 const target_views&
 read_views(const blackboard& board, const query_inputs& in, monotonic_time now)
 {
@@ -51,6 +70,10 @@
     thread_local target_views views;
     board.targets.read(
         in.service->targets, *in.facts, *in.topology, now, views);
+    if (in.versions.preferred.is_valid())
+    {
+        exclude_other_versions(in, views);
+    }
     return views;
 }
 
@@ -103,24 +126,14 @@
     context.spans.record(std::move(s));
 }
 
-version_handle
+version_choice
 choose_query_version(
     const blackboard& board, service_handle service, const std::string& id)
 {
     const auto versions = board.versions.get();
-    if (!versions || service.index >= versions->size())
-    {
-        return {};
-    }
-    const version_choice& choice = (*versions)[service.index];
-    if (!choice.from.is_valid())
-    {
-        return {};
-    }
-    constexpr double hash_range = 18446744073709551616.0; // 2^64
-    const double point =
-        static_cast<double>(XXH3_64bits(id.data(), id.size())) / hash_range;
-    return point < choice.share ? choice.to : choice.from;
+    return versions && service.index < versions->size()
+               ? choose_version((*versions)[service.index], id)
+               : version_choice{};
 }
 
 } // namespace bramleymux
--- a/src/query_common.hpp
+++ b/src/query_common.hpp
@@ -21,6 +21,7 @@
     std::shared_ptr<const std::vector<target_facts>> facts;
     const catalog_service* service = nullptr;
     const catalog_route* route = nullptr;
+    version_choice versions;
 };
 
 /// `problem` tells why the inputs are incomplete.
--- a/src/query_read.cpp
+++ b/src/query_read.cpp
@@ -86,7 +86,8 @@
     void
     handle_reply(sub_reply reply);
     void
-    observe(const open_batch& sent, miss_reason error, duration elapsed) const;
+    observe(const open_batch& sent, miss_reason error, run_state run,
+        duration elapsed) const;
     void
     retry(std::vector<shard_id> shards, std::vector<target_handle> tried,
         unsigned attempt, miss_reason error, run_state run);
@@ -157,8 +158,7 @@
         return false;
     }
     now_ = monotonic_clock::now();
-    version_ =
-        choose_query_version(context_.board, in_.service->self, request_.id);
+    version_ = in_.versions.preferred;
     const target_views& views = read_views(context_.board, in_, now_);
     snapshot_ =
         choose_snapshot(*in_.routes, in_.service->self, version_, views);
@@ -302,8 +302,10 @@
     any_unknown_ = any_unknown_ || run == run_state::unknown;
     context_.board.targets.replied(
         sent.batch.target, merged.error, elapsed, now_, query_random());
-    observe(sent, merged.error,
-        merged.error == miss_reason::none ? target_time : elapsed);
+    // Without the wait in front of the target, which says nothing about its
+    // version.
+    observe(sent, merged.error, run,
+        target_time > duration::zero() ? target_time : elapsed);
     record_sub_request_span(context_, request_, sent.traceparent,
         in_.topology->targets[sent.batch.target.index].name, sent.sent, now_,
         attempt_kind_names[static_cast<std::size_t>(sent.kind)].data(),
@@ -326,16 +328,17 @@
 }
 
 void
-read_run::observe(
-    const open_batch& sent, miss_reason error, duration elapsed) const
+read_run::observe(const open_batch& sent, miss_reason error, run_state run,
+    duration elapsed) const
 {
     if (!context_.observe)
     {
         return;
     }
-    context_.observe({in_.service->self, in_.route->self,
-        in_.topology->targets[sent.batch.target.index].version, error,
-        elapsed});
+    const target_handle target = sent.batch.target;
+    context_.observe(
+        {in_.service->self, in_.topology->targets[target.index].version,
+            in_.route->self, target, error, run, elapsed});
 }
 
 void
@@ -469,7 +472,7 @@
         const duration elapsed = now_ - sent.sent;
         context_.board.targets.replied(
             sent.batch.target, error, elapsed, now_, query_random());
-        observe(sent, error, elapsed);
+        observe(sent, error, run_state::unknown, elapsed);
         record_sub_request_span(context_, request_, sent.traceparent,
             in_.topology->targets[sent.batch.target.index].name, sent.sent,
             now_,
