Add the operators' command line

Cause: operators drive the system by editing rows and need to see when a change is in force and a move done or withdrawn. Change: bramleymux with show, set, add, remove, edit, outcome, zone, move, status and wait, readable or JSON, with documented exit codes; dry runs of edits; counters of peer messages and bytes; the end of work left from a former view is told to the zone.

--- a/src/admin_server.cpp
+++ b/src/admin_server.cpp
@@ -220,9 +220,15 @@
 admin_server::get_in_force(const server_request& request) const
 {
     const std::string text = query_parameter(request, "version");
+    char* end = nullptr;
     const std::uint64_t version =
         text.empty() ? parts_.counters.read()[counter::table_version]
-                     : std::strtoull(text.c_str(), nullptr, 10);
+                     : std::strtoull(text.c_str(), &end, 10);
+    if (version == 0 || (end != nullptr && *end != '\0'))
+    {
+        return make_problem(problem_code::invalid_request, run_state::not_run,
+            "parameter version must be a table version above 0");
+    }
     const in_force_report report = parts_.fleet.in_force_of(version);
     return json_response(
         {{"version", version}, {"everywhere", report.everywhere()},
@@ -254,6 +260,10 @@
     {
         edit.at_ms = unix_ms();
     }
+    if (query_parameter(request, "dry_run") == "true")
+    {
+        return check_edit(edit);
+    }
     const edit_result result = submit_edit(parts_.platform, edit,
         [](std::size_t attempt)
         {
@@ -266,6 +276,30 @@
     return response;
 }
 
+/// Findings and differences of an edit against the table in force; writes
+/// nothing.
+server_response
+admin_server::check_edit(const table_edit& edit) const
+{
+    const auto rows = parts_.board.rows.get();
+    if (!rows)
+    {
+        return make_problem(problem_code::no_table, run_state::not_run, "");
+    }
+    findings found;
+    const table after = apply_edit(to_json(*rows), rows->version, edit, found);
+    json changes = json::array();
+    for (const field_change& c : diff(*rows, after))
+    {
+        changes.push_back({{"row", c.row}, {"field", c.field},
+            {"before", c.before}, {"after", c.after}});
+    }
+    server_response response = json_response({{"version", rows->version},
+        {"findings", to_json(found)}, {"changes", std::move(changes)}});
+    response.status = found.empty() ? 200 : 400;
+    return response;
+}
+
 server_response
 admin_server::get_edit(const std::string& id)
 {
--- a/src/admin_server.hpp
+++ b/src/admin_server.hpp
@@ -6,6 +6,7 @@
 #include "platform.hpp"
 #include "report_controller.hpp"
 #include "table_controller.hpp"
+#include "table_edit.hpp"
 
 #include <functional>
 #include <string>
@@ -48,6 +49,8 @@
     server_response
     post_edit(const server_request& request);
     server_response
+    check_edit(const table_edit& edit) const;
+    server_response
     get_edit(const std::string& id);
 
     admin_parts parts_;
--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -104,6 +104,8 @@
     on_control_message(const peer_message& message);
     void
     on_frame(const std::vector<vm_identity>& live);
+    void
+    count_traffic();
     std::vector<vm_identity>
     live_peers() const;
     nlohmann::json
@@ -271,6 +273,37 @@
 {
     moves.frame(live, monotonic_clock::now());
     budget.set_fleet(live.size() + 1);
+    count_traffic();
+}
+
+/// Messages that carry queries are counted apart from control.
+void
+daemon::parts::count_traffic()
+{
+    const peer_link_stats link = peers.stats();
+    traffic_count in;
+    traffic_count out;
+    traffic_count query_in;
+    traffic_count query_out;
+    for (std::size_t i = 0; i < link.sent.size(); ++i)
+    {
+        const auto type = static_cast<peer_message_type>(i);
+        const bool query = type == peer_message_type::sub_batch ||
+                           type == peer_message_type::sub_reply ||
+                           type == peer_message_type::cancel;
+        in.messages += link.received[i].messages;
+        in.bytes += link.received[i].bytes;
+        out.messages += link.sent[i].messages;
+        out.bytes += link.sent[i].bytes;
+        query_in.bytes += query ? link.received[i].bytes : 0;
+        query_out.bytes += query ? link.sent[i].bytes : 0;
+    }
+    counters.set(counter::peer_messages_in, in.messages);
+    counters.set(counter::peer_messages_out, out.messages);
+    counters.set(counter::peer_bytes_in, in.bytes);
+    counters.set(counter::peer_bytes_out, out.bytes);
+    counters.set(counter::control_bytes_in, in.bytes - query_in.bytes);
+    counters.set(counter::control_bytes_out, out.bytes - query_out.bytes);
 }
 
 std::vector<vm_identity>
@@ -374,8 +407,8 @@
         monotonic_clock::now() +
         std::chrono::milliseconds(p.values.drain_timeout_ms);
     const bool callers_done = p.callers.drain(until);
-    p.fleet.release_targets(monotonic_clock::now() + handover_time);
     p.executor.drain();
+    p.fleet.release_targets(monotonic_clock::now() + handover_time);
     const bool work_done = p.executor.wait_idle(until);
     p.duties.stop();
     p.fleet.leave();
--- a/src/fleet_controller.cpp
+++ b/src/fleet_controller.cpp
@@ -326,6 +326,7 @@
     send(
         parts_.ownership.with([&](ownership_state& s) { return s.tick(now); }));
     parts_.executor.tick(now);
+    tell_ended_work(now);
     refresh_owners(now);
     send_reports(now);
     parts_.sink.expire(now);
@@ -339,6 +340,28 @@
     }
 }
 
+/// Work that a former view left running counts against the new owner's limit
+/// until this VM tells that it has ended.
+void
+fleet_controller::tell_ended_work(monotonic_time now)
+{
+    std::uint32_t left = 0;
+    for (const running_count& r : parts_.executor.running())
+    {
+        if (parts_.ownership.lease_end_for(r.target, now) ==
+            monotonic_time::min())
+        {
+            left += r.count;
+        }
+    }
+    if (left < former_work_)
+    {
+        send(parts_.ownership.with(
+            [&](ownership_state& s) { return s.running_changed(now); }));
+    }
+    former_work_ = left;
+}
+
 void
 fleet_controller::handle_events(monotonic_time now)
 {
--- a/src/fleet_controller.hpp
+++ b/src/fleet_controller.hpp
@@ -131,6 +131,8 @@
     void
     tick(monotonic_time now);
     void
+    tell_ended_work(monotonic_time now);
+    void
     handle_events(monotonic_time now);
     void
     update_view(monotonic_time now);
@@ -166,6 +168,7 @@
     monotonic_time next_owners_{};
     monotonic_time next_repeat_{};
     bool lease_held_ = false;
+    std::uint32_t former_work_ = 0; ///< running at targets not owned any more
     std::vector<running_count> last_running_;
 
     mutable std::mutex inbox_mutex_;
--- /dev/null
+++ b/tools/bramleymux/commands.cpp
@@ -0,0 +1,301 @@
+#include "bramleymux/commands.hpp"
+
+#include "bramleymux/print.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <iostream>
+#include <random>
+#include <thread>
+
+namespace bramleymux::tools
+{
+
+using nlohmann::json;
+
+namespace
+{
+
+constexpr auto poll_period = std::chrono::milliseconds(100);
+
+std::string
+new_edit_id()
+{
+    std::random_device source;
+    const std::uint64_t high = source();
+    const std::uint64_t low = source();
+    return "edit-" + std::to_string((high << 32U) | low);
+}
+
+/// Calls the daemon; prints why there is no usable answer.
+bool
+call(const command_options& options, const std::string& method,
+    const std::string& path, const std::string& body, admin_reply& out)
+{
+    out = call_admin(options.admin, method, path, body);
+    if (out.status == 0)
+    {
+        std::cerr << "bramleymux: " << out.error << "\n";
+        return false;
+    }
+    if (out.body.is_discarded())
+    {
+        std::cerr << "bramleymux: the answer is not JSON\n";
+        return false;
+    }
+    return true;
+}
+
+bool
+get(const command_options& options, const std::string& path, json& out)
+{
+    admin_reply reply;
+    if (!call(options, "GET", path, {}, reply))
+    {
+        return false;
+    }
+    if (reply.status != 200)
+    {
+        std::cerr << "bramleymux: " << reply.body.value("title", "refused")
+                  << "\n";
+        return false;
+    }
+    out = std::move(reply.body);
+    return true;
+}
+
+template <class Print>
+void
+show(const command_options& options, const json& value, const Print& print)
+{
+    if (options.json)
+    {
+        std::cout << value.dump(2) << "\n";
+    }
+    else
+    {
+        print(std::cout, value);
+    }
+}
+
+exit_code
+exit_code_of(const json& result, int status)
+{
+    const std::string outcome = result.value("outcome", std::string());
+    if (outcome == "accepted" || (outcome.empty() && status == 200))
+    {
+        return exit_code::ok;
+    }
+    if (outcome == "rejected_conflict")
+    {
+        return exit_code::conflict;
+    }
+    if (outcome == "not_accepted_platform")
+    {
+        return exit_code::not_accepted;
+    }
+    if (outcome == "unknown")
+    {
+        return exit_code::unknown;
+    }
+    return status == 400 ? exit_code::invalid : exit_code::no_answer;
+}
+
+void
+print_changes(std::ostream& out, const json& result)
+{
+    for (const json& c : result.value("changes", json::array()))
+    {
+        out << c["row"].get<std::string>() << " "
+            << c["field"].get<std::string>() << ": " << c["before"].dump()
+            << " -> " << c["after"].dump() << "\n";
+    }
+    print_edit(out, result);
+}
+
+const json*
+find_move(const json& moves, const std::string& name)
+{
+    const auto found = std::find_if(moves.begin(), moves.end(),
+        [&](const json& m) { return m["name"] == name; });
+    return found == moves.end() ? nullptr : &*found;
+}
+
+} // namespace
+
+exit_code
+show_rows(const command_options& options, const std::string& kind,
+    const std::string& name)
+{
+    json answer;
+    if (!get(options, "/v1/table", answer))
+    {
+        return exit_code::no_answer;
+    }
+    const json& table = answer["table"];
+    const std::string list = kind + "s";
+    if (!table.contains(list))
+    {
+        std::cerr << "bramleymux: unknown kind \"" << kind << "\"\n";
+        return exit_code::usage;
+    }
+    json rows = json::array();
+    for (const json& row : table[list])
+    {
+        if (name.empty() || row.value("name", std::string()) == name)
+        {
+            rows.push_back(row);
+        }
+    }
+    show(options, rows, print_rows);
+    return exit_code::ok;
+}
+
+exit_code
+show_status(const command_options& options)
+{
+    json answer;
+    if (!get(options, "/v1/status", answer))
+    {
+        return exit_code::no_answer;
+    }
+    show(options, answer, print_status);
+    return exit_code::ok;
+}
+
+exit_code
+show_moves(const command_options& options)
+{
+    json answer;
+    if (!get(options, "/v1/moves", answer))
+    {
+        return exit_code::no_answer;
+    }
+    show(options, answer, print_moves);
+    return exit_code::ok;
+}
+
+json
+parse_fields(const std::vector<std::string>& fields)
+{
+    json out = json::object();
+    for (const std::string& field : fields)
+    {
+        const std::size_t equals = field.find('=');
+        const std::string name = field.substr(0, equals);
+        const std::string text =
+            equals == std::string::npos ? "" : field.substr(equals + 1);
+        const json value = json::parse(text, nullptr, false);
+        out[name] = value.is_discarded() ? json(text) : value;
+    }
+    return out;
+}
+
+exit_code
+edit_rows(const command_options& options, const json& changes)
+{
+    const std::string id =
+        options.edit_id.empty() ? new_edit_id() : options.edit_id;
+    const json edit{{"id", id}, {"author", options.author},
+        {"base_version", options.base_version}, {"changes", changes}};
+    const std::string path =
+        options.dry_run ? "/v1/edits?dry_run=true" : "/v1/edits";
+    admin_reply reply;
+    if (!call(options, "POST", path, edit.dump(), reply))
+    {
+        std::cerr << "bramleymux: ask for the outcome with: "
+                     "bramleymux outcome "
+                  << id << "\n";
+        return exit_code::unknown;
+    }
+    show(options, reply.body, options.dry_run ? print_changes : print_edit);
+    const exit_code code = exit_code_of(reply.body, reply.status);
+    if (code != exit_code::ok || options.dry_run || options.wait_seconds <= 0)
+    {
+        return code;
+    }
+    return wait_in_force(options, reply.body["version"], options.wait_seconds);
+}
+
+exit_code
+ask_edit_outcome(const command_options& options, const std::string& id)
+{
+    admin_reply reply;
+    if (!call(options, "GET", "/v1/edits/" + encode_path(id), {}, reply))
+    {
+        return exit_code::no_answer;
+    }
+    show(options, reply.body, print_edit);
+    return exit_code_of(reply.body, reply.status);
+}
+
+exit_code
+wait_in_force(
+    const command_options& options, std::uint64_t version, double seconds)
+{
+    const auto until =
+        monotonic_clock::now() +
+        std::chrono::milliseconds(static_cast<std::int64_t>(seconds * 1000));
+    const std::string path =
+        version == 0 ? std::string("/v1/in_force")
+                     : "/v1/in_force?version=" + std::to_string(version);
+    json report;
+    do
+    {
+        if (!get(options, path, report))
+        {
+            return exit_code::no_answer;
+        }
+        if (report["everywhere"].get<bool>())
+        {
+            show(options, report, print_in_force);
+            return exit_code::ok;
+        }
+        std::this_thread::sleep_for(poll_period);
+    } while (monotonic_clock::now() < until);
+    show(options, report, print_in_force);
+    return exit_code::timed_out;
+}
+
+exit_code
+watch_move(
+    const command_options& options, const std::string& name, double seconds)
+{
+    const auto until =
+        monotonic_clock::now() +
+        std::chrono::milliseconds(static_cast<std::int64_t>(seconds * 1000));
+    std::string last;
+    do
+    {
+        json moves;
+        if (!get(options, "/v1/moves", moves))
+        {
+            return exit_code::no_answer;
+        }
+        const json* move = find_move(moves, name);
+        if (move != nullptr)
+        {
+            const json now = json::array({*move});
+            const std::string state = (*move)["state"];
+            const std::string summary =
+                state + (*move)["share"].dump() + (*move)["at_risk"].dump();
+            if (summary != last)
+            {
+                last = summary;
+                show(options, now, print_moves);
+            }
+            if (state == "done")
+            {
+                return exit_code::ok;
+            }
+            if (state == "withdrawn")
+            {
+                return exit_code::withdrawn;
+            }
+        }
+        std::this_thread::sleep_for(poll_period);
+    } while (monotonic_clock::now() < until);
+    return exit_code::timed_out;
+}
+
+} // namespace bramleymux::tools
--- /dev/null
+++ b/tools/bramleymux/print.cpp
@@ -0,0 +1,231 @@
+#include "bramleymux/print.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <ctime>
+#include <iomanip>
+
+namespace bramleymux::tools
+{
+
+using nlohmann::json;
+
+namespace
+{
+
+constexpr std::size_t column_gap = 2;
+
+std::string
+cell_of(const json& value)
+{
+    if (value.is_string())
+    {
+        return value.get<std::string>();
+    }
+    return value.is_null() ? std::string("-") : value.dump();
+}
+
+std::string
+join(const json& names)
+{
+    std::string out;
+    for (const json& name : names)
+    {
+        out += (out.empty() ? "" : ", ") + cell_of(name);
+    }
+    return out;
+}
+
+std::string
+time_of(const json& unix_ms)
+{
+    const std::time_t seconds = unix_ms.get<std::int64_t>() / 1000;
+    if (seconds == 0)
+    {
+        return "-";
+    }
+    char text[32];
+    std::tm parts{};
+    gmtime_r(&seconds, &parts);
+    std::strftime(text, sizeof text, "%Y-%m-%dT%H:%M:%SZ", &parts);
+    return text;
+}
+
+std::string
+percent(const json& share)
+{
+    return std::to_string(static_cast<int>(share.get<double>() * 100.0 + 0.5)) +
+           "%";
+}
+
+} // namespace
+
+void
+print_table(std::ostream& out, const text_rows& rows)
+{
+    std::vector<std::size_t> widths;
+    for (const auto& row : rows)
+    {
+        widths.resize(std::max(widths.size(), row.size()));
+        for (std::size_t i = 0; i < row.size(); ++i)
+        {
+            widths[i] = std::max(widths[i], row[i].size());
+        }
+    }
+    for (const auto& row : rows)
+    {
+        for (std::size_t i = 0; i < row.size(); ++i)
+        {
+            const bool last = i + 1 == row.size();
+            out << row[i]
+                << std::string(
+                       last ? 0 : widths[i] - row[i].size() + column_gap, ' ');
+        }
+        out << "\n";
+    }
+}
+
+void
+print_rows(std::ostream& out, const json& rows)
+{
+    if (rows.empty())
+    {
+        out << "no rows\n";
+        return;
+    }
+    std::vector<std::string> fields;
+    for (const json& row : rows)
+    {
+        for (const auto& [field, value] : row.items())
+        {
+            if (std::find(fields.begin(), fields.end(), field) == fields.end())
+            {
+                fields.push_back(field);
+            }
+        }
+    }
+    text_rows text{fields};
+    for (const json& row : rows)
+    {
+        std::vector<std::string> cells;
+        for (const std::string& field : fields)
+        {
+            cells.push_back(
+                row.contains(field) ? cell_of(row[field]) : std::string("-"));
+        }
+        text.push_back(std::move(cells));
+    }
+    print_table(out, text);
+}
+
+void
+print_status(std::ostream& out, const json& status)
+{
+    out << "VM " << cell_of(status["vm"]) << ", table version "
+        << status["table_version"] << ", platform "
+        << (status["platform_reachable"].get<bool>() ? "reachable"
+                                                     : "unreachable")
+        << ", owner of targets: "
+        << (status["may_act"].get<bool>() ? "yes" : "no")
+        << ", view: " << join(status["view"]) << "\n\n";
+    text_rows vms{{"VM", "ZONE", "PRESENCE", "STATE", "TABLE", "PLATFORM"}};
+    for (const json& vm : status["vms"])
+    {
+        vms.push_back(
+            {cell_of(vm["id"]), cell_of(vm["zone"]), cell_of(vm["presence"]),
+                cell_of(vm["state"]), cell_of(vm["table_version"]),
+                vm["platform_reachable"].get<bool>() ? "reachable"
+                                                     : "unreachable"});
+    }
+    print_table(out, vms);
+    out << "\n";
+    text_rows targets{{"TARGET", "LIMIT", "RUNNING", "WORST", "QUEUED", "SENDS",
+        "COLD FALLS", "REACHABLE"}};
+    for (const json& t : status["targets"])
+    {
+        targets.push_back({cell_of(t["name"]), cell_of(t["limit"]),
+            cell_of(t["running"]), cell_of(t["worst_running"]),
+            cell_of(t["queued"]), cell_of(t["sends"]), cell_of(t["cold_falls"]),
+            t["unreachable"].get<bool>() ? "no" : "yes"});
+    }
+    print_table(out, targets);
+    out << "\n";
+    print_moves(out, status["moves"]);
+}
+
+void
+print_moves(std::ostream& out, const json& moves)
+{
+    if (moves.empty())
+    {
+        out << "no moves\n";
+        return;
+    }
+    for (const json& m : moves)
+    {
+        out << "move " << cell_of(m["name"]) << " of " << cell_of(m["service"])
+            << ": " << cell_of(m["from"]) << " -> " << cell_of(m["to"]) << ", "
+            << cell_of(m["state"]) << ", share " << percent(m["share"])
+            << ", deadline " << time_of(m["deadline_ms"]) << "\n";
+        if (m.value("at_risk", false))
+        {
+            out << "  at risk: " << m.value("risk", "") << "\n";
+        }
+        if (!m.value("cause", std::string()).empty())
+        {
+            out << "  withdrawn: " << m.value("cause", "") << "\n";
+        }
+        if (!m.value("waits_for_detail", std::string()).empty())
+        {
+            out << "  next step waits for: " << m.value("waits_for_detail", "")
+                << "\n";
+        }
+    }
+}
+
+void
+print_in_force(std::ostream& out, const json& report)
+{
+    const bool everywhere = report["everywhere"].get<bool>();
+    out << "table version " << report["version"]
+        << (everywhere ? " is in force on every VM: "
+                       : " is not yet in force everywhere; applied by: ")
+        << join(report["applied"]) << "\n";
+    for (const char* kind : {"pending", "cut_off", "unconfirmed"})
+    {
+        if (!report[kind].empty())
+        {
+            out << "  " << kind << ": " << join(report[kind]) << "\n";
+        }
+    }
+}
+
+void
+print_edit(std::ostream& out, const json& result)
+{
+    out << "edit " << cell_of(result.value("edit_id", json("?"))) << ": "
+        << cell_of(result.value("outcome", json("refused")));
+    if (result.value("version", 0) != 0)
+    {
+        out << ", table version " << result["version"];
+    }
+    out << "\n";
+    const std::string reason =
+        result.value("reason", result.value("detail", std::string()));
+    if (!reason.empty())
+    {
+        out << "  " << reason << "\n";
+    }
+    for (const json& f : result.value("findings", json::array()))
+    {
+        out << "  " << cell_of(f["place"]) << ": " << cell_of(f["message"])
+            << "\n";
+    }
+    for (const json& c : result.value("conflicts", json::array()))
+    {
+        out << "  " << cell_of(c["row"]) << " was changed by "
+            << cell_of(c["author"]) << ": " << c["value"].dump() << "\n";
+    }
+}
+
+} // namespace bramleymux::tools
