--- a/tests/test_platform_lease.cpp
+++ b/tests/test_platform_lease.cpp
@@ -75,8 +75,8 @@
     // holder, or valid for longer than from the time of the send.
     platform.lose_replies = 1;
     CHECK(maintain_lease(a, platform, clock) == lease_state::held);
-    CHECK(
-        a.valid_until == now + config::controller_lease - config::lease_margin);
+    CHECK(a.valid_until ==
+          now + config::controller_lease - config::controller_lease_margin);
     now += config::lease_renewal;
     platform.delay_writes = 1;
     maintain_lease(a, platform, clock);
