Keep queries to the versions of their move and accept byte strings

Cause: queries never read the published version shares, so that any version took traffic; and the peer codec refused evidence messages, which hold a byte string, so that each VM tested a new version on its own replies only. Seen in a run of a move on 8 daemons: answers named no version and each VM logged E1303 for every evidence message. Change: read_inputs chooses the versions; the codec accepts byte strings.

--- a/src/peer_codec.cpp
+++ b/src/peer_codec.cpp
@@ -142,6 +142,17 @@
         return true;
     }
 
+    bool
+    skip(std::uint64_t length)
+    {
+        if (length > left())
+        {
+            return false;
+        }
+        at_ += length;
+        return true;
+    }
+
     peer_codec_errc
     children(std::uint64_t count, bool keyed, std::size_t depth)
     {
@@ -206,6 +217,9 @@
         case major_type::unsigned_integer:
         case major_type::negative_integer:
             return peer_codec_errc::ok;
+        case major_type::byte_string:
+            return skip(*value) ? peer_codec_errc::ok
+                                : peer_codec_errc::malformed;
         case major_type::text:
             return text(*value) ? peer_codec_errc::ok
                                 : peer_codec_errc::malformed;
--- a/src/query_common.cpp
+++ b/src/query_common.cpp
@@ -38,7 +38,9 @@
         problem.problem = problem_code::unknown_route;
         problem.detail = "service \"" + request.service + "\" has no route \"" +
                          request.route + "\"";
+        return in;
     }
+    in.versions = choose_query_version(board, in.service->self, request.id);
     return in;
 }
 
--- a/tests/test_peer_codec.cpp
+++ b/tests/test_peer_codec.cpp
@@ -44,6 +44,20 @@
     }
 }
 
+// Guards against evidence of version moves, which is a byte string, being
+// refused as malformed: moves then see only their own VM's replies.
+TEST_CASE("byte strings survive encoding", "[peer_codec]")
+{
+    const peer_message sent{peer_message_type::evidence, "vm-1", 1,
+        {{"e", json::binary({0x00, 0xFF, 0x80})}}};
+    const std::string bytes = encode_peer_message(sent).value();
+    const auto got = decode_peer_message(bytes);
+    REQUIRE(got);
+    CHECK(got.value().body == sent.body);
+    CHECK(error_of(bytes.substr(0, bytes.size() - 1)) ==
+          peer_codec_errc::malformed);
+}
+
 // Guards against sender fields on a link, whose hello has named the sender;
 // they would cost a third of a probe.
 TEST_CASE("a message without a sender has no sender fields", "[peer_codec]")
