Add the benchmark tool and its scenarios

The design page states benchmark targets that nothing measured. The tool loads a local fleet of each policy with an open-loop schedule, scripts faults and checks every answer row by row; scripts/bench.sh starts the processes. The sources pass a syntax check; no run has been made yet.

--- a/Makefile
+++ b/Makefile
@@ -23,6 +23,10 @@
 test: build
 	@scripts/run_tests.sh $(BUILD)
 
+## bench         load a local fleet of each policy, compare, report (QUICK=1)
+bench: build
+	@scripts/bench.sh $(BUILD)
+
 ## test-asan     the tests under AddressSanitizer and UBSan
 test-asan: deps
 	@cmake -S . -B build-asan -G Ninja -DBRAMLEYMUX_SANITIZE=address,undefined >/dev/null
--- /dev/null
+++ b/tools/bramleymux_bench/scenario.cpp
@@ -0,0 +1,332 @@
+#include "bramleymux_bench/scenario.hpp"
+
+#include "bramleymux_bench/fleet_access.hpp"
+#include "bramleymux_bench/summary.hpp"
+#include "common/bench_statistics.hpp"
+
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <functional>
+#include <stdexcept>
+
+namespace bramleymux::tools
+{
+
+using nlohmann::json;
+
+namespace
+{
+
+constexpr double open_end_s = 300; ///< load of scenarios that end by an event
+constexpr auto settle_time = std::chrono::seconds(2);
+constexpr auto edit_timeout = std::chrono::seconds(10);
+constexpr auto poll_period = std::chrono::milliseconds(5);
+constexpr const char* zone_row = "zone/east";
+constexpr const char* zone_taken_out = "east";
+constexpr std::uint32_t second_shard_count = 80;
+constexpr double outage_record_share = 0.3;
+
+struct timed_step
+{
+    double at_s;
+    std::function<void()> act;
+};
+
+class scenario_run
+{
+public:
+    explicit scenario_run(const scenario_options& options) : options_(options)
+    {
+    }
+
+    json
+    execute();
+
+private:
+    bool
+    ends_by_event() const
+    {
+        return options_.kind == scenario_kind::rolling ||
+               options_.kind == scenario_kind::edits;
+    }
+
+    load_options
+    make_load() const;
+    std::vector<timed_step>
+    steps();
+    std::vector<timed_step>
+    fault_steps();
+    void
+    take_zone_out();
+    void
+    bring_zone_back();
+    void
+    replace_all_vms();
+    void
+    run_edits();
+    double
+    wait_in_force(std::uint64_t version, monotonic_time since) const;
+    void
+    add_cold_figures(const json& targets);
+    std::string
+    unique_id(const std::string& name) const;
+
+    const scenario_options& options_;
+    json figures_ = json::object();
+    std::int64_t zone_out_at_ms_ = 0;
+};
+
+std::string
+scenario_run::unique_id(const std::string& name) const
+{
+    return "bench-" + name + "-" + std::to_string(unix_milliseconds());
+}
+
+load_options
+scenario_run::make_load() const
+{
+    load_options out;
+    out.shape = &options_.shape;
+    out.seed = options_.seed;
+    out.length =
+        std::chrono::duration_cast<duration>(std::chrono::duration<double>(
+            ends_by_event() ? open_end_s : options_.seconds));
+    for (const bench_service& service : options_.shape.services)
+    {
+        out.rows.push_back(rows_of(service));
+        if (service.name == wide_service)
+        {
+            out.rows.back()[2] =
+                partition_keys(service.rows, second_shard_count);
+        }
+    }
+    const bool records = options_.kind == scenario_kind::outage ||
+                         options_.kind == scenario_kind::rolling;
+    out.record_share = records ? outage_record_share : 0;
+    out.key_prefix = unique_id("key") + "-";
+    return out;
+}
+
+void
+scenario_run::take_zone_out()
+{
+    edit_row(
+        options_.shape.vms.back(), unique_id("out"), zone_row, {{"out", true}});
+    zone_out_at_ms_ = unix_milliseconds();
+}
+
+void
+scenario_run::bring_zone_back()
+{
+    double last_s = 0;
+    for (const auto& item : read_targets().items())
+    {
+        const json& t = item.value();
+        if (t.at("zone") == zone_taken_out)
+        {
+            const auto last = t.at("last_work_ms").get<std::int64_t>();
+            last_s = std::max(
+                last_s, static_cast<double>(last - zone_out_at_ms_) / 1000);
+        }
+    }
+    figures_["zone_out_s"] = last_s;
+    edit_row(options_.shape.vms.back(), unique_id("back"), zone_row,
+        {{"out", false}});
+}
+
+/// The script that started the daemons replaces them one by one.
+void
+scenario_run::replace_all_vms()
+{
+    namespace fs = std::filesystem;
+    const fs::path done = fs::path(options_.directory) / "rolling.done";
+    fs::remove(done);
+    std::ofstream(fs::path(options_.directory) / "rolling.start") << "\n";
+    const auto begin = monotonic_clock::now();
+    const auto limit =
+        begin + std::chrono::seconds(static_cast<int>(open_end_s) - 20);
+    while (!fs::exists(done) && monotonic_clock::now() < limit)
+    {
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    }
+    figures_["replaced_all"] = fs::exists(done);
+    figures_["replacement_s"] =
+        std::chrono::duration<double>(monotonic_clock::now() - begin).count();
+    std::this_thread::sleep_for(std::chrono::seconds(1));
+}
+
+/// Seconds until every VM has the version, or the time limit.
+double
+scenario_run::wait_in_force(std::uint64_t version, monotonic_time since) const
+{
+    const auto limit = since + edit_timeout;
+    for (const bench_vm& vm : options_.shape.vms)
+    {
+        while (table_version_of(vm) < version && monotonic_clock::now() < limit)
+        {
+            std::this_thread::sleep_for(poll_period);
+        }
+    }
+    return std::chrono::duration<double>(monotonic_clock::now() - since)
+        .count();
+}
+
+void
+scenario_run::run_edits()
+{
+    const auto& vms = options_.shape.vms;
+    const std::string row =
+        "target/" + target_name(options_.shape.services.front(), 0);
+    std::vector<double> times;
+    std::uint64_t reverted = 0;
+    for (std::size_t i = 0; i < options_.edits; ++i)
+    {
+        const auto before = monotonic_clock::now();
+        const std::uint64_t version = edit_row(vms[i % vms.size()],
+            unique_id("edit") + "-" + std::to_string(i), row,
+            {{"weight", i % 2 == 0 ? 0.9 : 1.0}});
+        times.push_back(wait_in_force(version, before));
+        for (const bench_vm& vm : vms)
+        {
+            reverted += table_version_of(vm) < version ? 1 : 0;
+        }
+    }
+    std::sort(times.begin(), times.end());
+    figures_["edits"] = times.size();
+    figures_["edit_p50_s"] = percentile(times, 0.5);
+    figures_["edit_p99_s"] = percentile(times, 0.99);
+    figures_["edit_max_s"] = percentile(times, 1);
+    figures_["edits_late_or_reverted"] = reverted;
+}
+
+std::vector<timed_step>
+scenario_run::fault_steps()
+{
+    const double third = options_.seconds / 3;
+    const std::string wide = wide_service;
+    switch (options_.kind)
+    {
+    case scenario_kind::stragglers:
+        return {{0, []
+            {
+                script_targets({{"faults",
+                    {{"straggle", {{"probability", 0.01}, {"factor", 50}}}}}});
+            }}};
+    case scenario_kind::cold:
+        return {{third, [wide] {
+                     script_targets({{"action", "cold"},
+                         {"match", {{"name", wide + "-0"}}}});
+                 }}};
+    case scenario_kind::replica:
+        return {
+            {third,
+                [wide] {
+                    script_targets({{"action", "stop"},
+                        {"match", {{"name", wide + "-1"}}}});
+                }},
+            {2 * third, [wide] {
+                 script_targets(
+                     {{"action", "start"}, {"match", {{"name", wide + "-1"}}}});
+             }}};
+    case scenario_kind::outage:
+        return {{options_.seconds / 4,
+                    [] {
+                        call_json(platform_address, "POST", "/control",
+                            {{"outage", true}});
+                    }},
+            {options_.seconds * 3 / 4, [] {
+                 call_json(
+                     platform_address, "POST", "/control", {{"outage", false}});
+             }}};
+    default:
+        return {};
+    }
+}
+
+std::vector<timed_step>
+scenario_run::steps()
+{
+    const double third = options_.seconds / 3;
+    switch (options_.kind)
+    {
+    case scenario_kind::zone:
+        return {{third, [this] { take_zone_out(); }},
+            {2 * third, [this] { bring_zone_back(); }}};
+    case scenario_kind::rolling:
+        return {{1, [this] { replace_all_vms(); }}};
+    case scenario_kind::edits:
+        return {{1, [this] { run_edits(); }}};
+    case scenario_kind::repartition:
+    {
+        const auto snapshots = [](const json& list) {
+            script_targets({{"service", wide_service}, {"snapshots", list}});
+        };
+        const json first{{"sequence", 1}, {"shard_count", 100}};
+        const json second{{"sequence", 2}, {"shard_count", second_shard_count}};
+        return {{third,
+                    [=] {
+                        snapshots(json::array({first, second}));
+                    }},
+            {2 * third, [=] { snapshots(json::array({second})); }}};
+    }
+    default:
+        return fault_steps();
+    }
+}
+
+void
+scenario_run::add_cold_figures(const json& targets)
+{
+    if (options_.kind != scenario_kind::cold)
+    {
+        return;
+    }
+    const json& t = targets.at(std::string(wide_service) + "-0");
+    figures_["starts_above_cold_limit"] = t.at("cold_overloads");
+    figures_["worst_cold_concurrent"] = t.at("worst_cold_offered");
+    figures_["still_cold"] = t.at("cold");
+}
+
+json
+scenario_run::execute()
+{
+    script_targets({{"action", "heal"}});
+    std::this_thread::sleep_for(settle_time);
+    call_json(target_control_address, "POST", "/control/reset");
+    run_data run;
+    run.shape = &options_.shape;
+    run.before = read_fleet(options_.shape);
+    caller_load load(make_load());
+    load.start();
+    const auto begin = monotonic_clock::now();
+    for (const timed_step& step : steps())
+    {
+        std::this_thread::sleep_until(
+            begin + std::chrono::duration_cast<duration>(
+                        std::chrono::duration<double>(step.at_s)));
+        step.act();
+    }
+    if (ends_by_event())
+    {
+        load.cut();
+        run.seconds = load.elapsed_s();
+    }
+    run.samples = load.finish();
+    run.seconds = ends_by_event() ? run.seconds : options_.seconds;
+    run.after = read_fleet(options_.shape);
+    add_cold_figures(run.after.targets);
+    script_targets({{"action", "heal"}});
+    figures_.update(summarize(run));
+    return figures_;
+}
+
+} // namespace
+
+json
+run_scenario(const scenario_options& options)
+{
+    return scenario_run(options).execute();
+}
+
+} // namespace bramleymux::tools
