Check answers of one shard, warm fleets up before the first scenario

Answers to non-idempotent requests cover one shard and were counted as row faults; a new fleet's cold limits showed up in the first scenario.

--- a/tests/test_bench.cpp
+++ b/tests/test_bench.cpp
@@ -152,6 +152,30 @@
     CHECK(check(partial).wrong == 1);
 }
 
+// Guards against faults in the answer to a non-idempotent request.
+TEST_CASE("an answer about one shard has all rows of that shard", "[bench]")
+{
+    json answer = whole_answer();
+    const json before = answer["rows"];
+    answer["rows"] = json::array();
+    std::copy_if(before.begin(), before.end(),
+        std::back_inserter(answer["rows"]),
+        [](const json& row) { return row["shard"] == 1; });
+    answer["coverage"]["asked"] = 1;
+    answer["coverage"]["answered"] = 1;
+    const auto check_one = [](const json& value)
+    { return check_answer(value, "exam-desk", held, answer_scope::one_shard); };
+    const answer_check good = check_one(answer);
+    CHECK(good.parsed);
+    CHECK(good.wrong + good.doubled + good.lost == 0);
+    json lost = answer;
+    lost["rows"].erase(0);
+    CHECK(check_one(lost).lost == 1);
+    json other = answer;
+    other["rows"].push_back(make_row("exam-desk", 7, 2, held.at(7)[2].front()));
+    CHECK(check_one(other).wrong == 1);
+}
+
 // Guards against a figure that is absent or bad and reported as a pass.
 TEST_CASE("a target passes only on a measured figure", "[bench]")
 {
--- a/tools/bramleymux_bench/report.cpp
+++ b/tools/bramleymux_bench/report.cpp
@@ -146,8 +146,9 @@
         bool present = false;
         for (const char* policy : policies)
         {
-            scenario[policy] =
-                read_result(directory + "/" + name + "." + policy + ".json");
+            std::string path = directory;
+            path.append("/").append(name).append(".").append(policy);
+            scenario[policy] = read_result(path.append(".json"));
             present = present || !scenario[policy].empty();
         }
         if (!present)
--- a/tools/bramleymux_bench/scenario.hpp
+++ b/tools/bramleymux_bench/scenario.hpp
@@ -32,6 +32,7 @@
     std::string directory; ///< files exchanged with the script that replaces
                            ///< daemons
     double seconds = 10;
+    double warm_up_seconds = 0;
     std::uint64_t seed = 1;
     std::size_t edits = 100;
 };
--- a/tools/bramleymux_bench_main.cpp
+++ b/tools/bramleymux_bench_main.cpp
@@ -21,6 +21,7 @@
     std::string scenario;
     std::string out;
     double seconds = 10;
+    double warm_up = 0;
     std::uint64_t seed = 1;
     std::size_t edits = 100;
     bool check = false;
@@ -47,6 +48,7 @@
     options.shape = make_shape(a.shape);
     options.directory = a.directory;
     options.seconds = a.seconds;
+    options.warm_up_seconds = a.warm_up;
     options.seed = a.seed;
     options.edits = a.edits;
     nlohmann::json result = run_scenario(options);
@@ -92,6 +94,8 @@
     }
     load->add_option("--scenario", a.scenario)->required();
     load->add_option("--seconds", a.seconds, "length of the load");
+    load->add_option(
+        "--warm-up", a.warm_up, "seconds of load before, not measured");
     load->add_option("--seed", a.seed, "seed of the arrivals");
     load->add_option("--edits", a.edits, "edits of the scenario edits");
     for (CLI::App* command : {load, summary})
