--- /dev/null
+++ b/tests/fuzz/world_entry.cpp
@@ -0,0 +1,318 @@
+#include "world.hpp"
+
+#include <algorithm>
+
+namespace bramleymux::fuzz
+{
+
+namespace
+{
+
+constexpr unsigned max_attempts = 3;
+
+} // namespace
+
+target_views
+world::views_of(const fuzz_vm& vm) const
+{
+    target_views views(vm.topology->targets.size());
+    const auto known = known_vms(vm.members);
+    for (const catalog_target& each : vm.topology->targets)
+    {
+        if (!each.self.is_valid())
+        {
+            continue;
+        }
+        const catalog_target row = seen_row(each);
+        const target_report& report = vm.reports[row.self.index];
+        const std::string& zone = vm.topology->zones[row.zone.index].name;
+        target_facts facts;
+        facts.reachable = report.reachable;
+        facts.draining = row.draining || report.draining;
+        facts.zone_out = row.zone_out;
+        facts.owner_known = std::any_of(known.begin(), known.end(),
+            [&](const known_vm& other)
+            {
+                return other.identity.zone == zone &&
+                       other.presence == vm_presence::live;
+            });
+        target_view& view = views[row.self.index];
+        view.unusable = unusable_reason(facts);
+        view.weight = row.weight;
+        const auto mean = vm.latency.find(row.self.index);
+        view.latency_us =
+            mean == vm.latency.end() ? 0.0 : expected_us(mean->second, now_);
+        const auto load = vm.in_flight.find(row.self.index);
+        view.in_flight = load == vm.in_flight.end() ? 0 : load->second;
+    }
+    return views;
+}
+
+void
+world::start_query(fuzz_vm& vm)
+{
+    const catalog_service* service = find_service(*vm.topology, "desk");
+    if (service == nullptr || !vm.routes)
+    {
+        return;
+    }
+    const target_views views = views_of(vm);
+    const snapshot_index* snapshot =
+        choose_snapshot(*vm.routes, service->self, {}, views);
+    if (snapshot == nullptr)
+    {
+        return;
+    }
+    open_query query;
+    query.id = "q" + std::to_string(++next_id_);
+    query.deadline = now_ + between(300ms, 900ms);
+    query.builder =
+        start_answer(snapshot->sequence, all_shards(*snapshot));
+    earn(vm.extra, snapshot->shard_count, now_);
+    earn(vm.retries, snapshot->shard_count);
+    plan_request wanted;
+    wanted.shards = all_shards(*snapshot);
+    const query_plan plan =
+        plan_query(*vm.routes, *snapshot, wanted, views, now_, vm.random);
+    for (const shard_miss& miss : plan.missing)
+    {
+        note_missing(query.builder, {miss.shard}, miss.reason);
+    }
+    const std::string id = query.id;
+    vm.queries[id] = std::move(query);
+    submit(vm, vm.queries[id], plan, {}, 1, false);
+}
+
+void
+world::submit(fuzz_vm& vm, open_query& query, const query_plan& plan,
+    const std::vector<target_handle>& tried, unsigned attempt, bool hedge)
+{
+    std::vector<owned_job> jobs;
+    const auto topology = vm.topology;
+    for (const shard_batch& batch : plan.batches)
+    {
+        const catalog_target& row = topology->targets[batch.target.index];
+        sub_request sub;
+        sub.id = ++next_id_;
+        sub.query_id = query.id;
+        sub.target = batch.target;
+        sub.target_name = row.name;
+        sub.service = "desk";
+        sub.route = "find";
+        sub.version = topology->versions[row.version.index].name;
+        sub.snapshot = query.builder.snapshot;
+        sub.shards = batch.shards;
+        sub.deadline = query.deadline;
+        sub.worth = 1.0 + static_cast<double>(next_id_ % 3);
+        if (!expect(query.builder, sub))
+        {
+            continue;
+        }
+        open_batch open;
+        open.target = batch.target;
+        open.tried = tried;
+        open.tried.push_back(batch.target);
+        open.attempt = attempt;
+        open.hedged = hedge;
+        open.sent = now_;
+        query.open[sub.id] = open;
+        ++vm.in_flight[batch.target.index];
+        jobs.push_back({sub, vm.self.id, vm.self.incarnation, "", {}});
+    }
+    for (const owned_job& job : jobs)
+    {
+        const catalog_target& row =
+            topology->targets[job.request.target.index];
+        const std::string& zone = topology->zones[row.zone.index].name;
+        std::vector<vm_ref> members;
+        if (zone == vm.self.zone)
+        {
+            members = vm.ownership.members();
+        }
+        else
+        {
+            for (const known_vm& other : known_vms(vm.members))
+            {
+                if (other.identity.zone == zone &&
+                    other.presence == vm_presence::live &&
+                    other.digest.state == serving_state::serving)
+                {
+                    members.push_back(
+                        {other.identity.id, other.identity.incarnation});
+                }
+            }
+        }
+        const auto owner = owner_of(row.name, members);
+        if (!owner)
+        {
+            at_vm(vm.self.id, vm.self.incarnation, 0us,
+                [this, id = job.request.id](fuzz_vm& entry)
+                {
+                    sub_reply reply;
+                    reply.id = id;
+                    reply.error = miss_reason::owner_unknown;
+                    on_sub_reply(entry, std::move(reply));
+                });
+        }
+        else if (members[*owner].id == vm.self.id)
+        {
+            at_vm(vm.self.id, vm.self.incarnation, 0us,
+                [this, job](fuzz_vm& at) { accept(at, job); });
+        }
+        else
+        {
+            transmit(vm, members[*owner].id,
+                [this, job](fuzz_vm& at) { accept(at, job); });
+        }
+    }
+}
+
+void
+world::on_sub_reply(fuzz_vm& vm, sub_reply reply)
+{
+    const auto at = std::find_if(vm.queries.begin(), vm.queries.end(),
+        [&](const auto& q) { return q.second.open.count(reply.id) > 0; });
+    // A reply that strays into another query must change nothing there.
+    for (auto& [id, other] : vm.queries)
+    {
+        if (other.open.count(reply.id) == 0 && chance(0.1))
+        {
+            (void)merge(other.builder, reply);
+        }
+    }
+    if (at == vm.queries.end())
+    {
+        return;
+    }
+    open_query& query = at->second;
+    const open_batch sent = query.open[reply.id];
+    query.open.erase(reply.id);
+    --vm.in_flight[sent.target.index];
+    const duration elapsed = now_ - sent.sent;
+    const run_state run = reply.run;
+    const merge_result merged = merge(query.builder, std::move(reply));
+    if (merged.error == miss_reason::none)
+    {
+        record(vm.latency[sent.target.index], elapsed, now_);
+        record(vm.route_latency, elapsed, now_);
+        return;
+    }
+    if (merged.error == miss_reason::shed)
+    {
+        note_shed(vm.extra, now_);
+    }
+    record_at_least(vm.latency[sent.target.index], elapsed, now_);
+    retry(vm, query, sent, merged.failed, run);
+}
+
+void
+world::retry(fuzz_vm& vm, open_query& query, const open_batch& failed,
+    const std::vector<shard_id>& shards, run_state run)
+{
+    const catalog_service* service = find_service(*vm.topology, "desk");
+    const snapshot_index* snapshot =
+        find_snapshot(*vm.routes, service->self, query.builder.snapshot);
+    if (snapshot == nullptr || shards.empty() || now_ >= query.deadline ||
+        failed.attempt >= max_attempts ||
+        !spend_retry(vm.extra, vm.retries, run, shards.size()))
+    {
+        return;
+    }
+    plan_request wanted;
+    wanted.shards = shards;
+    wanted.tried = failed.tried;
+    submit(vm, query,
+        plan_query(
+            *vm.routes, *snapshot, wanted, views_of(vm), now_, vm.random),
+        failed.tried, failed.attempt + 1, false);
+}
+
+void
+world::send_hedges(fuzz_vm& vm, open_query& query)
+{
+    const catalog_service* service = find_service(*vm.topology, "desk");
+    const snapshot_index* snapshot =
+        find_snapshot(*vm.routes, service->self, query.builder.snapshot);
+    const duration delay = hedge_delay(vm.route_latency);
+    std::vector<std::pair<open_batch, std::vector<shard_id>>> due;
+    for (auto& [id, batch] : query.open)
+    {
+        const auto open = query.builder.open.find(id);
+        if (snapshot == nullptr || batch.hedged || now_ < batch.sent + delay ||
+            open == query.builder.open.end())
+        {
+            continue;
+        }
+        const auto shards = unanswered(query.builder, open->second.shards);
+        if (!shards.empty() && spend(vm.extra, shards.size()))
+        {
+            batch.hedged = true;
+            due.emplace_back(batch, shards);
+        }
+    }
+    for (const auto& [batch, shards] : due)
+    {
+        plan_request wanted;
+        wanted.shards = shards;
+        wanted.tried = batch.tried;
+        submit(vm, query,
+            plan_query(
+                *vm.routes, *snapshot, wanted, views_of(vm), now_, vm.random),
+            batch.tried, batch.attempt, true);
+    }
+}
+
+void
+world::finish_queries(fuzz_vm& vm)
+{
+    for (auto it = vm.queries.begin(); it != vm.queries.end();)
+    {
+        open_query& query = it->second;
+        const bool over = now_ >= query.deadline;
+        if (!over && !is_complete(query.builder) && !is_settled(query.builder))
+        {
+            send_hedges(vm, query);
+            ++it;
+            continue;
+        }
+        if (over)
+        {
+            close_answer(query.builder);
+        }
+        give_answer(query);
+        for (const auto& [id, batch] : query.open)
+        {
+            --vm.in_flight[batch.target.index];
+        }
+        it = vm.queries.erase(it);
+    }
+}
+
+void
+world::give_answer(open_query& query)
+{
+    const coverage covered = coverage_of(query.builder);
+    caller_answer answer;
+    answer.query = query.id;
+    answer.snapshot = query.builder.snapshot;
+    answer.asked = covered.asked;
+    answer.answered = covered.answered;
+    for (const missing_shard& missing : covered.missing)
+    {
+        answer.missing.push_back(missing.shard);
+        answer.missing_without_reason +=
+            missing.reason == miss_reason::none ? 1 : 0;
+    }
+    if (fault_ == breakage::counts_every_reply)
+    {
+        answer.answered = answer.asked;
+        answer.missing.clear();
+    }
+    for (const nlohmann::json& row : take_rows(query.builder))
+    {
+        answer.rows.push_back(row.get<std::string>());
+    }
+    judge.answered(answer, now_);
+}
+
+} // namespace bramleymux::fuzz
--- /dev/null
+++ b/tests/fuzz/world_owner.cpp
@@ -0,0 +1,244 @@
+#include "world.hpp"
+
+#include "http_client.hpp"
+#include "target_client.hpp"
+
+#include <algorithm>
+
+namespace bramleymux::fuzz
+{
+
+namespace
+{
+
+constexpr auto no_lease = monotonic_time::min();
+
+} // namespace
+
+monotonic_time
+world::lease_end(const fuzz_vm& vm, const std::string& target) const
+{
+    const auto& rows = targets_;
+    const auto row = std::find_if(rows.begin(), rows.end(),
+        [&](const fake_target& t) { return t.name == target; });
+    if (row->zone != vm.self.zone)
+    {
+        return no_lease;
+    }
+    if (fault_ == breakage::lease_from_ack || fault_ == breakage::no_lease_check)
+    {
+        const auto& members = vm.ownership.members();
+        const auto owner = owner_of(target, members);
+        const bool owns = owner && members[*owner].id == vm.self.id &&
+                          vm.ownership.is_ready();
+        const monotonic_time end = fault_ == breakage::no_lease_check
+                                       ? now_ + config::view_lease
+                                       : vm.last_ack + config::view_lease;
+        return owns && end > now_ ? end : no_lease;
+    }
+    return vm.ownership.lease_end_for(target, now_);
+}
+
+/// The row as the owner and the entry see it.
+catalog_target
+world::seen_row(const catalog_target& row) const
+{
+    catalog_target seen = row;
+    seen.zone_out = row.zone_out && fault_ != breakage::zone_out_ignored;
+    seen.draining = row.draining && fault_ != breakage::drain_ignored;
+    return seen;
+}
+
+target_state&
+world::limits_of(fuzz_vm& vm, const catalog_target& row)
+{
+    const auto [it, added] = vm.limits.try_emplace(row.self.index);
+    if (added)
+    {
+        (void)configure(it->second, seen_row(row));
+    }
+    return it->second;
+}
+
+void
+world::accept(fuzz_vm& vm, owned_job job)
+{
+    const std::uint16_t index = vm.names.targets.find(job.request.target_name);
+    // The link gives each message once; a repeated one is dropped here.
+    if (!vm.seen_requests.insert({job.entry, job.request.id}).second)
+    {
+        return;
+    }
+    if (!vm.topology || index >= vm.topology->targets.size())
+    {
+        return;
+    }
+    const catalog_target& row = vm.topology->targets[index];
+    const std::uint64_t key = ++next_id_;
+    const queue_entry entry{key, job.request.worth, job.request.deadline};
+    job.request.target = row.self;
+    vm.jobs[key] = std::move(job);
+    if (vm.stopping && now_ >= vm.stop_at)
+    {
+        refuse(vm, key, miss_reason::draining);
+        return;
+    }
+    if (lease_end(vm, row.name) == no_lease)
+    {
+        refuse(vm, key, miss_reason::owner_unknown);
+        return;
+    }
+    refuse(vm, offer(limits_of(vm, row), entry, now_));
+    pump(vm, row);
+}
+
+void
+world::refuse(fuzz_vm& vm, std::uint64_t key, miss_reason reason)
+{
+    const auto at = vm.jobs.find(key);
+    const owned_job job = at->second;
+    vm.jobs.erase(at);
+    sub_reply reply;
+    reply.error = reason;
+    reply.run = run_state::not_run;
+    reply_to_entry(vm, job, std::move(reply));
+}
+
+void
+world::refuse(fuzz_vm& vm, const queue_refusals& refused)
+{
+    for (const queue_refusal& entry : refused)
+    {
+        refuse(vm, entry.key, entry.reason);
+    }
+}
+
+void
+world::pump(fuzz_vm& vm, const catalog_target& row)
+{
+    target_state& state = limits_of(vm, row);
+    if (lease_end(vm, row.name) == no_lease)
+    {
+        refuse(vm, refuse_all(state, miss_reason::lease_lapsed));
+        return;
+    }
+    const std::uint32_t foreign =
+        fault_ == breakage::no_foreign_count
+            ? 0
+            : vm.ownership.foreign_running(row.name, now_);
+    queue_refusals refused;
+    while (const auto entry = start_next(state, foreign, now_, refused))
+    {
+        send_job(vm, entry->key, row);
+    }
+    refuse(vm, refused);
+}
+
+void
+world::send_job(fuzz_vm& vm, std::uint64_t key, const catalog_target& row)
+{
+    owned_job& job = vm.jobs.at(key);
+    monotonic_time deadline =
+        std::min(job.request.deadline, lease_end(vm, row.name));
+    if (fault_ == breakage::deadline_past_lease)
+    {
+        deadline = job.request.deadline;
+    }
+    job.wire_id = "w" + std::to_string(key);
+    job.sent = now_;
+    judge.sent({job.wire_id, vm.self.id, row.name, job.request.query_id,
+                   job.request.snapshot,
+                   {job.request.shards.begin(), job.request.shards.end()},
+                   job.request.idempotency_key, deadline},
+        now_);
+    const wire_request wire{job.wire_id, vm.self.id, vm.self.incarnation, key,
+        job.request, deadline - now_};
+    at(between(200us, 2ms), [this, wire] { arrive(wire); });
+    at_vm(vm.self.id, vm.self.incarnation, deadline - now_,
+        [this, key](fuzz_vm& owner)
+        {
+            if (owner.jobs.count(key) == 0)
+            {
+                return;
+            }
+            sub_reply reply;
+            set_transport_failure(http_errc::timeout, true, reply);
+            if (fault_ == breakage::lost_is_not_run)
+            {
+                reply.run = run_state::not_run;
+            }
+            finish_job(owner, key, std::move(reply), true);
+        });
+}
+
+void
+world::on_response(fuzz_vm& vm, const wire_request& wire, int status,
+    const std::string& body)
+{
+    if (vm.jobs.count(wire.key) == 0)
+    {
+        return;
+    }
+    http_response response;
+    response.status = status;
+    response.body = body;
+    nlohmann::json parsed = nlohmann::json::parse(body, nullptr, false);
+    if (parsed.is_object() && fault_ == breakage::unchecked_id)
+    {
+        parsed["request_id"] = wire.id;
+        response.body = parsed.dump();
+    }
+    if (parsed.is_object() && fault_ == breakage::unchecked_snapshot)
+    {
+        parsed["snapshot"] = wire.request.snapshot;
+        response.body = parsed.dump();
+    }
+    sub_reply reply;
+    (void)read_target_answer(response, wire.request, wire.id, reply);
+    finish_job(vm, wire.key, std::move(reply), true);
+}
+
+void
+world::finish_job(
+    fuzz_vm& vm, std::uint64_t key, sub_reply reply, bool sent)
+{
+    const owned_job job = vm.jobs.at(key);
+    vm.jobs.erase(key);
+    const catalog_target row =
+        vm.topology->targets[job.request.target.index];
+    target_state& state = limits_of(vm, row);
+    reply_sample sample{reply.error, reply.instance, now_ - job.sent, sent};
+    if (!reply.instance.empty())
+    {
+        judge.heard(vm.self.id, row.name, reply.instance, 0);
+    }
+    if (fault_ == breakage::restart_unnoticed)
+    {
+        sample.instance.clear();
+    }
+    if (fault_ == breakage::report_ignored &&
+        sample.error == miss_reason::draining)
+    {
+        sample.error = miss_reason::failed;
+    }
+    refuse(vm, on_reply(state, sample, now_, vm.random));
+    judge.told(job.wire_id, reply.run, now_);
+    reply_to_entry(vm, job, std::move(reply));
+    pump(vm, row);
+}
+
+void
+world::reply_to_entry(fuzz_vm& vm, const owned_job& job, sub_reply reply)
+{
+    reply.id = job.request.id;
+    const auto deliver = [this, reply](fuzz_vm& entry)
+    { on_sub_reply(entry, reply); };
+    if (job.entry == vm.self.id)
+    {
+        at_vm(job.entry, job.entry_incarnation, 0us, deliver);
+        return;
+    }
+    transmit(vm, job.entry, deliver);
+}
+
+} // namespace bramleymux::fuzz
--- /dev/null
+++ b/tests/fuzz/world_targets.cpp
@@ -0,0 +1,454 @@
+#include "world.hpp"
+
+#include "table_edit.hpp"
+
+#include <algorithm>
+
+namespace bramleymux::fuzz
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+constexpr std::size_t zones = 2;
+constexpr std::size_t vms_per_zone = 3;
+constexpr std::size_t targets_per_zone = 3;
+constexpr std::uint32_t first_shard_count = 4;
+constexpr std::uint32_t table_slots = 3;
+
+std::string
+numbered(const char* prefix, std::size_t number)
+{
+    return prefix + std::to_string(number);
+}
+
+/// The first target of a zone holds the lower half of the shards, the second
+/// one the upper half, the third one all.
+shard_range
+held_shards(std::size_t target, std::uint32_t shard_count)
+{
+    const std::uint32_t half = shard_count / 2;
+    switch (target % targets_per_zone)
+    {
+    case 0:
+        return {0, half - 1};
+    case 1:
+        return {half, shard_count - 1};
+    default:
+        return {0, shard_count - 1};
+    }
+}
+
+json
+first_table(const std::vector<fake_target>& targets)
+{
+    json rows = json::array();
+    for (std::size_t i = 0; i < targets.size(); ++i)
+    {
+        rows.push_back({{"name", targets[i].name}, {"service", "desk"},
+            {"searcher", i % 2 == 0 ? "fast" : "slow"},
+            {"zone", targets[i].zone}, {"version", "v1"},
+            {"address", "127.0.0.1:" + std::to_string(9000 + i)}});
+    }
+    return {{"zones", {{{"name", "z0"}}, {{"name", "z1"}}}},
+        {"services", {{{"name", "desk"}}}},
+        {"routes", {{{"service", "desk"}, {"name", "find"}},
+                       {{"service", "desk"}, {"name", "enter"},
+                           {"idempotent", false}}}},
+        {"searchers",
+            {{{"service", "desk"}, {"name", "fast"}, {"slots", table_slots},
+                 {"cold_limit", table_slots}},
+                {{"service", "desk"}, {"name", "slow"}, {"slots", table_slots},
+                    {"cold_limit", 1}}}},
+        {"versions", {{{"service", "desk"}, {"name", "v1"}}}},
+        {"targets", rows}, {"moves", json::array()}};
+}
+
+} // namespace
+
+world::world(std::uint64_t seed, breakage fault) : fault_(fault), random_(seed)
+{
+    for (std::size_t i = 0; i < zones * targets_per_zone; ++i)
+    {
+        fake_target target;
+        target.name = numbered("t", i);
+        target.zone = numbered("z", i / targets_per_zone);
+        targets_.push_back(target);
+        judge.target_started(target.name, target.instance());
+    }
+    newest_snapshot_ = 1;
+    judge.snapshot_made(newest_snapshot_, first_shard_count);
+    for (std::size_t i = 0; i < targets_.size(); ++i)
+    {
+        targets_[i].snapshots = {{newest_snapshot_, first_shard_count,
+            {held_shards(i, first_shard_count)}}};
+    }
+    (void)platform_.put(std::string(table_key), first_table(targets_), 0);
+    note_accepted();
+    for (std::size_t i = 0; i < zones * vms_per_zone; ++i)
+    {
+        start_vm(numbered("vm", i), numbered("z", i / vms_per_zone));
+    }
+    run(6s);
+}
+
+void
+world::arrive(const wire_request& wire)
+{
+    fake_target& target = target_of(wire.request.target_name);
+    const sub_request& request = wire.request;
+    const auto held = std::find_if(target.snapshots.begin(),
+        target.snapshots.end(), [&](const held_snapshot& s)
+        { return s.sequence == request.snapshot; });
+    const bool holds_all =
+        held != target.snapshots.end() &&
+        std::all_of(request.shards.begin(), request.shards.end(),
+            [&](shard_id shard) { return holds(*held, shard); });
+    const json id{{"request_id", wire.id}, {"run", "not_run"}};
+    json refusal = id;
+    int status = 503;
+    if (target.draining)
+    {
+        refusal["reason"] = "draining";
+    }
+    else if (target.sheds > 0)
+    {
+        --target.sheds;
+        refusal["reason"] = "shed";
+    }
+    else if (!holds_all)
+    {
+        status = 409;
+        refusal["reason"] = "snapshot";
+    }
+    const bool executed = !refusal.contains("reason");
+    judge.arrived(wire.id, executed, now_);
+    if (!executed)
+    {
+        respond(wire, status, refusal.dump(), 0us);
+        return;
+    }
+    const auto time = std::chrono::duration_cast<duration>(
+        between(20ms, 140ms) * target.slowness);
+    at(std::min(time, wire.remaining),
+        [this, wire, run = target.run, whole = time <= wire.remaining]
+        {
+            fake_target& after = target_of(wire.request.target_name);
+            if (after.run == run)
+            {
+                judge.ended(wire.id, whole);
+                if (whole)
+                {
+                    respond_rows(wire, after);
+                }
+            }
+        });
+}
+
+void
+world::respond(const wire_request& wire, int status, std::string body,
+    duration delay)
+{
+    at_vm(wire.vm, wire.incarnation, delay + between(200us, 2ms),
+        [this, wire, status, body = std::move(body)](fuzz_vm& owner)
+        { on_response(owner, wire, status, body); });
+}
+
+void
+world::respond_rows(const wire_request& wire, fake_target& target)
+{
+    const auto use = [](unsigned& left) { return left > 0 && left-- > 0; };
+    snapshot_sequence snapshot = wire.request.snapshot;
+    if (snapshot > 1 && use(target.stale))
+    {
+        --snapshot;
+    }
+    const bool truncated = use(target.truncate);
+    json shards = json::array();
+    for (const shard_id shard : wire.request.shards)
+    {
+        shards.push_back({{"shard", shard},
+            {"rows", {row_of(snapshot, shard, wire.request.query_id)}}});
+    }
+    if (truncated && chance(0.5))
+    {
+        shards.erase(shards.begin());
+    }
+    std::string body = json{{"request_id", wire.id},
+        {"instance", target.instance()}, {"version", wire.request.version},
+        {"snapshot", snapshot}, {"shards", shards}}
+                           .dump();
+    if (truncated && chance(0.5))
+    {
+        body.resize(body.size() / 2);
+    }
+    const std::string former = std::exchange(target.last_body, body);
+    if (use(target.lose))
+    {
+        return;
+    }
+    if (!former.empty() && use(target.cross))
+    {
+        body = former;
+    }
+    respond(wire, 200, body, use(target.late) ? between(100ms, 2s) : 0us);
+}
+
+/// Tells the oracle of a table that the platform holds now.
+void
+world::note_accepted()
+{
+    const object& stored = platform_.objects[std::string(table_key)];
+    if (stored.version == noted_version_)
+    {
+        return;
+    }
+    noted_version_ = stored.version;
+    accepted_table table;
+    table.at = now_;
+    for (const json& zone : stored.value["zones"])
+    {
+        if (zone.value("out", false))
+        {
+            table.zones_out.insert(zone["name"]);
+        }
+    }
+    for (const json& row : stored.value["targets"])
+    {
+        target_terms terms;
+        terms.zone = row["zone"];
+        terms.slots = row.value("limit", table_slots);
+        terms.cold_limit = row["searcher"] == "fast" ? table_slots : 1;
+        terms.draining = row.value("draining", false);
+        table.targets[row["name"]] = terms;
+    }
+    judge.accepted(stored.version, std::move(table));
+}
+
+void
+world::edit(const std::string& row, const json& fields)
+{
+    platform_.down = now_ < outage_until_;
+    const table_edit change{numbered("e", ++next_edit_), "operator", 1, 0,
+        {{change_op::patch, row, fields}}};
+    (void)submit_edit(platform_, change);
+    platform_.lose_replies = 0;
+    note_accepted();
+}
+
+void
+world::apply(const command& c)
+{
+    apply_target_fault(c, targets_[c.subject % targets_.size()]);
+    apply_edit(c, targets_[c.subject % targets_.size()]);
+    apply_fleet_fault(c);
+    run(std::chrono::milliseconds(c.wait_ms));
+}
+
+void
+world::restart(fake_target& target)
+{
+    ++target.run;
+    target.draining = false;
+    target.slowness = 1.0;
+    judge.target_started(target.name, target.instance());
+}
+
+void
+world::apply_target_fault(const command& c, fake_target& target)
+{
+    const unsigned some = 1 + c.amount % 8;
+    switch (c.kind)
+    {
+    case command_kind::lose_replies:
+        target.lose = some;
+        break;
+    case command_kind::late_replies:
+        target.late = some;
+        break;
+    case command_kind::cross_replies:
+        target.cross = some;
+        break;
+    case command_kind::truncate_replies:
+        target.truncate = some;
+        break;
+    case command_kind::stale_replies:
+        target.stale = some;
+        break;
+    case command_kind::shed:
+        target.sheds = some;
+        break;
+    case command_kind::drain:
+        target.draining = !target.draining;
+        judge.target_leaving(target.name, target.draining, now_);
+        break;
+    case command_kind::turn_cold:
+        target.slowness = target.slowness > 1.0 ? 1.0 : 10.0;
+        break;
+    case command_kind::restart_target:
+        restart(target);
+        break;
+    case command_kind::report_limit:
+        target.reported_limit = 1 + c.amount % 4;
+        break;
+    case command_kind::repartition:
+        repartition();
+        break;
+    default:
+        break;
+    }
+}
+
+/// A new snapshot with its own number of shards, which the targets take over
+/// one after the other.
+void
+world::repartition()
+{
+    const snapshot_sequence sequence = ++newest_snapshot_;
+    const auto shard_count =
+        static_cast<std::uint32_t>(2 + random_() % first_shard_count);
+    judge.snapshot_made(sequence, shard_count);
+    for (std::size_t i = 0; i < targets_.size(); ++i)
+    {
+        at(between(0us, 2s),
+            [this, i, sequence, shard_count]
+            {
+                auto& held = targets_[i].snapshots;
+                held.push_back({sequence, shard_count,
+                    {held_shards(i, shard_count)}});
+                if (held.size() > 2)
+                {
+                    held.erase(held.begin());
+                }
+            });
+    }
+}
+
+void
+world::apply_edit(const command& c, const fake_target& target)
+{
+    const json limit{{"limit", 1 + c.amount % 4}};
+    const json drain{{"draining", c.amount % 2 == 0}};
+    const std::string row = "target/" + target.name;
+    switch (c.kind)
+    {
+    case command_kind::edit_limit:
+        edit(row, limit);
+        break;
+    case command_kind::edit_drain:
+        edit(row, drain);
+        break;
+    case command_kind::edit_zone:
+        edit(numbered("zone/z", c.subject % zones),
+            {{"out", c.amount % 2 == 0}});
+        break;
+    case command_kind::racing_edits:
+        platform_.before_write = [this, row, drain](const std::string&)
+        { edit(row, drain); };
+        edit("target/" + targets_[c.amount % targets_.size()].name, limit);
+        platform_.before_write = nullptr;
+        break;
+    case command_kind::lose_platform_reply:
+        platform_.lose_replies = 1;
+        edit(row, limit);
+        break;
+    default:
+        break;
+    }
+}
+
+/// Whether its zone has another VM that serves.
+bool
+world::is_spare(const fuzz_vm& vm) const
+{
+    return std::count_if(vms_.begin(), vms_.end(),
+               [&](const auto& other)
+               {
+                   return other.second->self.zone == vm.self.zone &&
+                          !other.second->stopping;
+               }) > 1;
+}
+
+void
+world::start_missing_vm()
+{
+    for (const vm_list_entry& entry : list_)
+    {
+        if (vms_.count(entry.id) == 0)
+        {
+            start_vm(entry.id, entry.zone);
+            return;
+        }
+    }
+}
+
+void
+world::apply_fleet_fault(const command& c)
+{
+    fuzz_vm& vm = some_vm(c.subject);
+    const duration time = 100ms * (1 + c.amount % 40);
+    switch (c.kind)
+    {
+    case command_kind::queries:
+        load_ = 0.2 + 0.2 * (c.amount % 5);
+        break;
+    case command_kind::outage:
+        outage_until_ = now_ + time;
+        judge.platform_out(outage_until_);
+        break;
+    case command_kind::cut_watchers:
+        vm.watcher_cut_until = now_ + time;
+        break;
+    case command_kind::pause_vm:
+        vm.paused_until = now_ + time;
+        judge.vm_disturbed(vm.self.id, vm.paused_until);
+        break;
+    case command_kind::kill_vm:
+        if (is_spare(vm))
+        {
+            kill_vm(vm);
+        }
+        break;
+    case command_kind::stop_vm:
+        if (is_spare(vm) && !vm.stopping)
+        {
+            vm.stopping = true;
+            vm.stop_at = now_ + 500ms;
+        }
+        break;
+    case command_kind::start_vm:
+        start_missing_vm();
+        break;
+    case command_kind::cut_zone:
+        cut_zone_ = numbered("z", c.subject % zones);
+        cut_until_ = now_ + time;
+        for (const auto& [id, other] : vms_)
+        {
+            if (other->self.zone == cut_zone_)
+            {
+                judge.vm_disturbed(id, cut_until_);
+            }
+        }
+        break;
+    case command_kind::bad_links:
+        bad_links_until_ = now_ + time;
+        break;
+    default:
+        break;
+    }
+}
+
+void
+world::settle()
+{
+    for (fake_target& target : targets_)
+    {
+        target.sheds = target.lose = target.late = target.cross = 0;
+        target.truncate = target.stale = 0;
+    }
+    run(12s);
+}
+
+} // namespace bramleymux::fuzz
