--- a/tests/fuzz/test_breakages.cpp
+++ b/tests/fuzz/test_breakages.cpp
@@ -40,6 +40,9 @@
     {breakage::any_version_adopted, "any_version_adopted",
         invariant::table_in_force, 1},
     {breakage::offers_dropped, "offers_dropped", invariant::table_in_force, 1},
+    {breakage::unconditional_claim, "unconditional_claim",
+        invariant::at_most_once, 1},
+    {breakage::lost_frees_key, "lost_frees_key", invariant::at_most_once, 1},
 };
 
 std::vector<violation>
--- a/tests/fuzz/world.cpp
+++ b/tests/fuzz/world.cpp
@@ -18,10 +18,12 @@
 
 } // namespace
 
-fuzz_vm::fuzz_vm(vm_identity identity, std::uint64_t seed, monotonic_time now)
+fuzz_vm::fuzz_vm(vm_identity identity, std::uint64_t seed, monotonic_time now,
+    vm_platform platform_view)
     : self(identity), members(make_membership(identity, seed)),
       tables(make_distribution(identity, seed + 1)),
-      ownership({identity.id, identity.incarnation}, now), random(seed + 2)
+      ownership({identity.id, identity.incarnation}, now), random(seed + 2),
+      platform(platform_view), records(platform, seed + 3)
 {
 }
 
@@ -102,7 +104,8 @@
             if (vm->gone)
             {
                 judge.vm_ended(
-                    vm->self.id, true, vm->queries.size(), now_);
+                    vm->self.id, true,
+                    vm->queries.size() + vm->once.size(), now_);
                 vms_.erase(vm->self.id);
             }
         }
@@ -155,7 +158,8 @@
     {
         list_.push_back({id, zone, self.peer_address, vm_list_state::live});
     }
-    auto vm = std::make_unique<fuzz_vm>(self, random_(), now_);
+    auto vm = std::make_unique<fuzz_vm>(
+        self, random_(), now_, vm_platform(platform_, fault_));
     seed_members(vm->members, list_, now_);
     judge.vm_started(id, now_);
     vms_[id] = std::move(vm);
@@ -212,6 +216,9 @@
         send(vm, vm.ownership.leave(now_));
     }
     send(vm, vm.ownership.tick(now_));
+    vm.platform.reachable = can_reach_platform(vm);
+    (void)vm.records.retry_pending(call_now());
+    expire_once(vm);
     poll_platform(vm);
     if (vm.topology)
     {
@@ -242,7 +249,8 @@
     {
         refuse(vm, refuse_all(state, miss_reason::draining));
     }
-    const bool idle = vm.jobs.empty() && vm.queries.empty();
+    const bool idle = vm.jobs.empty() && vm.queries.empty() &&
+                      vm.once.empty();
     if (idle || fault_ == breakage::stop_without_wait)
     {
         send(vm, leave_members(vm.members, now_));
--- a/tests/fuzz/world.hpp
+++ b/tests/fuzz/world.hpp
@@ -5,6 +5,7 @@
 #include "coverage.hpp"
 #include "distribution.hpp"
 #include "fake_platform.hpp"
+#include "idempotency.hpp"
 #include "latency.hpp"
 #include "membership.hpp"
 #include "ownership.hpp"
@@ -50,6 +51,8 @@
     stop_without_wait,    ///< a VM stops while it has work at targets
     any_version_adopted,  ///< a table is adopted whatever its version
     offers_dropped,       ///< tables are not passed to other VMs
+    unconditional_claim,  ///< a claim replaces the record of another
+    lost_frees_key,       ///< a key is freed when the reply was lost
     count
 };
 
@@ -73,6 +76,10 @@
     racing_edits,
     outage,
     lose_platform_reply,
+    once,
+    once_twice,
+    lose_claim,
+    delay_claim,
     cut_watchers,
     pause_vm,
     kill_vm,
@@ -88,8 +95,8 @@
     "lose_replies", "late_replies", "cross_replies", "truncate_replies",
     "stale_replies", "shed", "drain", "turn_cold", "restart_target",
     "report_limit", "repartition", "edit_limit", "edit_drain", "edit_zone",
-    "racing_edits", "outage", "lose_platform_reply", "cut_watchers", "pause_vm",
-    "kill_vm", "stop_vm", "start_vm", "cut_zone", "bad_links", "wait"};
+    "racing_edits", "outage", "lose_platform_reply", "once", "once_twice",
+    "lose_claim", "delay_claim", "cut_watchers", "pause_vm", "kill_vm", "stop_vm", "start_vm", "cut_zone", "bad_links", "wait"};
 
 struct command
 {
@@ -151,6 +158,46 @@
     std::map<std::uint64_t, open_batch> open;
 };
 
+/// A non-idempotent request at its entry VM.
+struct once_call
+{
+    std::string attempt;
+    claim claimed;
+    monotonic_time deadline;
+    std::vector<target_handle> tried;
+};
+
+/// The platform as one VM reaches it.
+class vm_platform : public platform_api
+{
+public:
+    vm_platform(fake_platform& shared, breakage fault)
+        : shared_(shared), fault_(fault)
+    {
+    }
+
+    bool reachable = true;
+
+    platform_result<object>
+    get(const std::string& key) override;
+    platform_result<std::uint64_t>
+    put(const std::string& key, const nlohmann::json& value,
+        std::uint64_t expected) override;
+    platform_result<void>
+    remove(const std::string& key, std::uint64_t expected) override;
+    platform_result<std::vector<object>>
+    list(const std::string& prefix) override;
+    platform_result<std::optional<object>>
+    watch(const std::string& key, std::uint64_t after,
+        duration timeout) override;
+    platform_result<std::vector<vm_list_entry>>
+    vms() override;
+
+private:
+    fake_platform& shared_;
+    breakage fault_;
+};
+
 struct fuzz_vm
 {
     vm_identity self;
@@ -179,8 +226,12 @@
     retry_budget retries;
     std::map<std::string, open_query> queries;
     monotonic_time last_ack{};
+    vm_platform platform;
+    idempotency records;
+    std::map<std::uint64_t, once_call> once; ///< by sub-request
 
-    fuzz_vm(vm_identity identity, std::uint64_t seed, monotonic_time now);
+    fuzz_vm(vm_identity identity, std::uint64_t seed, monotonic_time now,
+        vm_platform platform_view);
 };
 
 class world
@@ -268,6 +319,22 @@
     void
     give_answer(open_query& query);
 
+    // Non-idempotent requests.
+    void
+    start_once(fuzz_vm& vm, unsigned key);
+    void
+    send_once(fuzz_vm& vm, once_call call);
+    bool
+    on_once_reply(fuzz_vm& vm, const sub_reply& reply);
+    void
+    finish_once(fuzz_vm& vm, const once_call& call, run_state run);
+    void
+    expire_once(fuzz_vm& vm);
+    call_time
+    call_now() const;
+    void
+    dispatch(fuzz_vm& vm, const owned_job& job);
+
     // Owner.
     monotonic_time
     lease_end(const fuzz_vm& vm, const std::string& target) const;
--- a/tests/fuzz/world_entry.cpp
+++ b/tests/fuzz/world_entry.cpp
@@ -121,55 +121,66 @@
     }
     for (const owned_job& job : jobs)
     {
-        const catalog_target& row =
-            topology->targets[job.request.target.index];
-        const std::string& zone = topology->zones[row.zone.index].name;
-        std::vector<vm_ref> members;
-        if (zone == vm.self.zone)
-        {
-            members = vm.ownership.members();
-        }
-        else
+        dispatch(vm, job);
+    }
+}
+
+/// Sends a sub-request to the VM that owns its target.
+void
+world::dispatch(fuzz_vm& vm, const owned_job& job)
+{
+    const catalog_target& row =
+        vm.topology->targets[job.request.target.index];
+    const std::string& zone = vm.topology->zones[row.zone.index].name;
+    std::vector<vm_ref> members;
+    if (zone == vm.self.zone)
+    {
+        members = vm.ownership.members();
+    }
+    else
+    {
+        for (const known_vm& other : known_vms(vm.members))
         {
-            for (const known_vm& other : known_vms(vm.members))
+            if (other.identity.zone == zone &&
+                other.presence == vm_presence::live &&
+                other.digest.state == serving_state::serving)
             {
-                if (other.identity.zone == zone &&
-                    other.presence == vm_presence::live &&
-                    other.digest.state == serving_state::serving)
-                {
-                    members.push_back(
-                        {other.identity.id, other.identity.incarnation});
-                }
+                members.push_back(
+                    {other.identity.id, other.identity.incarnation});
             }
         }
-        const auto owner = owner_of(row.name, members);
-        if (!owner)
-        {
-            at_vm(vm.self.id, vm.self.incarnation, 0us,
-                [this, id = job.request.id](fuzz_vm& entry)
-                {
-                    sub_reply reply;
-                    reply.id = id;
-                    reply.error = miss_reason::owner_unknown;
-                    on_sub_reply(entry, std::move(reply));
-                });
-        }
-        else if (members[*owner].id == vm.self.id)
-        {
-            at_vm(vm.self.id, vm.self.incarnation, 0us,
-                [this, job](fuzz_vm& at) { accept(at, job); });
-        }
-        else
-        {
-            transmit(vm, members[*owner].id,
-                [this, job](fuzz_vm& at) { accept(at, job); });
-        }
+    }
+    const auto owner = owner_of(row.name, members);
+    if (!owner)
+    {
+        at_vm(vm.self.id, vm.self.incarnation, 0us,
+            [this, id = job.request.id](fuzz_vm& entry)
+            {
+                sub_reply reply;
+                reply.id = id;
+                reply.error = miss_reason::owner_unknown;
+                on_sub_reply(entry, std::move(reply));
+            });
+    }
+    else if (members[*owner].id == vm.self.id)
+    {
+        at_vm(vm.self.id, vm.self.incarnation, 0us,
+            [this, job](fuzz_vm& at) { accept(at, job); });
+    }
+    else
+    {
+        transmit(vm, members[*owner].id,
+            [this, job](fuzz_vm& at) { accept(at, job); });
     }
 }
 
 void
 world::on_sub_reply(fuzz_vm& vm, sub_reply reply)
 {
+    if (on_once_reply(vm, reply))
+    {
+        return;
+    }
     const auto at = std::find_if(vm.queries.begin(), vm.queries.end(),
         [&](const auto& q) { return q.second.open.count(reply.id) > 0; });
     // A reply that strays into another query must change nothing there.
--- a/tests/fuzz/world_targets.cpp
+++ b/tests/fuzz/world_targets.cpp
@@ -394,6 +394,24 @@
     case command_kind::queries:
         load_ = 0.2 + 0.2 * (c.amount % 5);
         break;
+    case command_kind::once:
+        start_once(vm, c.amount % 6);
+        break;
+    case command_kind::once_twice:
+        start_once(vm, c.amount % 6);
+        start_once(some_vm(c.subject + 1), c.amount % 6);
+        break;
+    case command_kind::lose_claim:
+        platform_.lose_replies = 1;
+        start_once(vm, c.amount % 6);
+        platform_.lose_replies = 0;
+        break;
+    case command_kind::delay_claim:
+        platform_.delay_writes = 1;
+        start_once(vm, c.amount % 6);
+        platform_.delay_writes = 0;
+        at(time, [this] { platform_.deliver(); });
+        break;
     case command_kind::outage:
         outage_until_ = now_ + time;
         judge.platform_out(outage_until_);
