--- a/Makefile
+++ b/Makefile
@@ -35,6 +35,12 @@
 	@cmake --build build-tsan -j $(JOBS)
 	@scripts/run_tests.sh build-tsan
 
+## fuzz          random sequences over the decision modules (SEED, RUNS)
+fuzz: deps
+	@cmake -S . -B $(BUILD) -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo >/dev/null
+	@cmake --build $(BUILD) -j $(JOBS) --target bramleymux_fuzz
+	@FUZZ_SEED=$(SEED) FUZZ_RUNS=$(RUNS) $(BUILD)/bin/bramleymux_fuzz
+
 ## format        rewrite the sources with clang-format
 format:
 	@scripts/format.sh
--- a/src/config.hpp
+++ b/src/config.hpp
@@ -190,7 +190,7 @@
 inline constexpr auto controller_lease = 5s;
 inline constexpr auto lease_renewal = 1500ms;
 // A holder stops this long before its lease ends, for clocks that drift.
-inline constexpr auto lease_margin = 500ms;
+inline constexpr auto controller_lease_margin = 500ms;
 inline constexpr auto backoff_base = 100ms;
 inline constexpr auto backoff_cap = 10s;
 // Time over which call rates grow back to normal after an outage.
--- a/src/platform_lease.cpp
+++ b/src/platform_lease.cpp
@@ -83,7 +83,7 @@
         lease.term = term;
         lease.version = version;
         lease.valid_until =
-            sent + config::controller_lease - config::lease_margin;
+            sent + config::controller_lease - config::controller_lease_margin;
         lease.next_renewal = sent + config::lease_renewal;
     }
     else if (!written && written.error() == platform_errc::conflict)
--- a/tests/fuzz/oracle.cpp
+++ b/tests/fuzz/oracle.cpp
@@ -14,6 +14,11 @@
 constexpr auto closed_bound = 2s;
 constexpr auto table_bound = 4s;
 constexpr std::uint32_t successes_for_slot = 100;
+constexpr auto withdrawn_bound = 1s;
+// Failed replies after which a fault shows, over all VMs.
+constexpr std::size_t replies_for_fault = 12;
+// Allowance for chance in the share of a version that is not proven.
+constexpr std::size_t share_allowance = 20;
 
 std::string
 shard_key(const std::string& query, std::uint64_t snapshot, std::uint32_t shard)
@@ -135,9 +140,72 @@
     known.second = reported_limit > 0 ? reported_limit : known.second;
 }
 
+void
+oracle::version_bad(const std::string& version, bool bad)
+{
+    bad_version_ = bad ? version : "";
+    bad_replies_ = 0;
+    shown_ = monotonic_time::max();
+}
+
+void
+oracle::links_disturbed(monotonic_time until)
+{
+    links_since_ = std::max(links_since_, until);
+}
+
+void
+oracle::bad_reply(const std::string& vm, monotonic_time now)
+{
+    // The count starts again after a disturbance, which delays the evidence.
+    if (now <= std::max(links_since_, vms_.at(vm).calm_since))
+    {
+        bad_replies_ = 0;
+    }
+    else if (++bad_replies_ == replies_for_fault)
+    {
+        shown_ = std::min(shown_, now);
+    }
+}
+
+/// R5 after the fault showed, at VMs that can hear of it.
+void
+oracle::chosen(
+    const std::string& vm, const std::string& version, monotonic_time now)
+{
+    if (shown_ == monotonic_time::max() || version != bad_version_)
+    {
+        return;
+    }
+    if (now > std::max({shown_, links_since_, vms_.at(vm).calm_since}) +
+                  withdrawn_bound)
+    {
+        report(invariant::bad_version, now,
+            vm + " chose version " + version + " after its fault showed");
+    }
+}
+
+/// R5 before: runs are too short to prove a version.
+void
+oracle::check_share(const std::string& version, monotonic_time now)
+{
+    ++sends_of_[version];
+    std::size_t all = 0;
+    for (const auto& [name, count] : sends_of_)
+    {
+        all += count;
+    }
+    if (version == "v2" && sends_of_[version] * 20 > all + share_allowance * 20)
+    {
+        report(invariant::bad_version, now,
+            "more than 5% of the work goes to " + version);
+    }
+}
+
 void
 oracle::sent(const wire_send& send, monotonic_time now)
 {
+    check_share(send.version, now);
     const vm_facts& vm = vms_.at(send.vm);
     flight f;
     f.send = send;
--- a/tests/fuzz/oracle.hpp
+++ b/tests/fuzz/oracle.hpp
@@ -69,6 +69,7 @@
     std::uint64_t snapshot = 0;
     std::vector<std::uint32_t> shards;
     std::string once_key; ///< of a non-idempotent request, else empty
+    std::string version;
     monotonic_time deadline;
 };
 
@@ -130,6 +131,21 @@
     void
     ended(const std::string& wire_id, bool succeeded);
 
+    // Versions.
+    /// The version's targets fail or are good from now on.
+    void
+    version_bad(const std::string& version, bool bad);
+    /// Evidence may be late until `until`.
+    void
+    links_disturbed(monotonic_time until);
+    /// An entry VM got a reply of a bad version.
+    void
+    bad_reply(const std::string& vm, monotonic_time now);
+    /// A query chose the version.
+    void
+    chosen(const std::string& vm, const std::string& version,
+        monotonic_time now);
+
     // Callers.
     void
     told(const std::string& wire_id, run_state run, monotonic_time now);
@@ -185,6 +201,8 @@
     void
     check_closed(const flight& f, monotonic_time now);
     void
+    check_share(const std::string& version, monotonic_time now);
+    void
     check_limits(const flight& f, monotonic_time now);
     void
     check_rows(const caller_answer& answer, monotonic_time now);
@@ -200,6 +218,11 @@
     std::set<std::string> attempts_not_run_;
     std::set<std::string> executed_; ///< "query/snapshot/shard"
     std::vector<violation> violations_;
+    std::string bad_version_;
+    std::size_t bad_replies_ = 0;
+    std::map<std::string, std::size_t> sends_of_; ///< by version
+    monotonic_time shown_ = monotonic_time::max();
+    monotonic_time links_since_{};
     monotonic_time platform_since_{}; ///< end of the last outage
 };
 
--- a/tests/fuzz/test_breakages.cpp
+++ b/tests/fuzz/test_breakages.cpp
@@ -43,6 +43,8 @@
     {breakage::unconditional_claim, "unconditional_claim",
         invariant::at_most_once, 1},
     {breakage::lost_frees_key, "lost_frees_key", invariant::at_most_once, 1},
+    {breakage::no_evidence, "no_evidence", invariant::bad_version, 1},
+    {breakage::share_ignored, "share_ignored", invariant::bad_version, 1},
 };
 
 std::vector<violation>
--- a/tests/fuzz/world.cpp
+++ b/tests/fuzz/world.cpp
@@ -25,6 +25,7 @@
       ownership({identity.id, identity.incarnation}, now), random(seed + 2),
       platform(platform_view), records(platform, seed + 3)
 {
+    moves.vm = identity.id;
 }
 
 bool
@@ -223,6 +224,7 @@
     if (vm.topology)
     {
         poll_targets(vm);
+        run_moves(vm);
         for (const catalog_target& row : vm.topology->targets)
         {
             if (row.self.is_valid())
@@ -370,6 +372,8 @@
     vm.topology = build_catalog(value, vm.names);
     vm.reports.resize(vm.topology->targets.size());
     vm.routes = build_routing_index(*vm.topology, vm.reports);
+    update_moves(vm.moves, *vm.topology,
+        {now_, call_now().unix_ms});
     for (const catalog_target& row : vm.topology->targets)
     {
         if (row.self.is_valid())
--- a/tests/fuzz/world.hpp
+++ b/tests/fuzz/world.hpp
@@ -11,6 +11,7 @@
 #include "ownership.hpp"
 #include "routing.hpp"
 #include "target_limits.hpp"
+#include "version_move.hpp"
 
 #include <chrono>
 #include <functional>
@@ -53,6 +54,8 @@
     offers_dropped,       ///< tables are not passed to other VMs
     unconditional_claim,  ///< a claim replaces the record of another
     lost_frees_key,       ///< a key is freed when the reply was lost
+    no_evidence,          ///< replies of versions are not observed
+    share_ignored,        ///< queries use any version
     count
 };
 
@@ -70,6 +73,7 @@
     restart_target,
     report_limit,
     repartition,
+    bad_version,
     edit_limit,
     edit_drain,
     edit_zone,
@@ -94,7 +98,7 @@
 inline constexpr name_table<command_kind> command_kind_names{"queries",
     "lose_replies", "late_replies", "cross_replies", "truncate_replies",
     "stale_replies", "shed", "drain", "turn_cold", "restart_target",
-    "report_limit", "repartition", "edit_limit", "edit_drain", "edit_zone",
+    "report_limit", "repartition", "bad_version", "edit_limit", "edit_drain", "edit_zone",
     "racing_edits", "outage", "lose_platform_reply", "once", "once_twice",
     "lose_claim", "delay_claim", "cut_watchers", "pause_vm", "kill_vm", "stop_vm", "start_vm", "cut_zone", "bad_links", "wait"};
 
@@ -111,6 +115,7 @@
 {
     std::string name;
     std::string zone;
+    std::string version;
     unsigned run = 1; ///< part of the instance id
     bool draining = false;
     std::uint32_t reported_limit = 0;
@@ -155,6 +160,7 @@
     std::string id;
     monotonic_time deadline;
     answer_builder builder;
+    version_choice versions;
     std::map<std::uint64_t, open_batch> open;
 };
 
@@ -223,6 +229,9 @@
     std::map<std::uint16_t, std::uint32_t> in_flight;
     latency_sketch route_latency;
     extra_load_budget extra;
+    version_moves moves;
+    monotonic_time next_evidence{};
+    std::size_t withdrawals_sent = 0;
     retry_budget retries;
     std::map<std::string, open_query> queries;
     monotonic_time last_ack{};
@@ -303,7 +312,13 @@
     void
     start_query(fuzz_vm& vm);
     target_views
-    views_of(const fuzz_vm& vm) const;
+    views_of(const fuzz_vm& vm, const version_choice& versions) const;
+    version_choice
+    versions_of(const fuzz_vm& vm, const std::string& query) const;
+    void
+    observe(fuzz_vm& vm, const open_batch& batch, const sub_reply& reply);
+    void
+    run_moves(fuzz_vm& vm);
     void
     submit(fuzz_vm& vm, open_query& query, const query_plan& plan,
         const std::vector<target_handle>& tried, unsigned attempt, bool hedge);
@@ -425,6 +440,7 @@
     std::vector<fake_target> targets_;
     fake_platform platform_;
     std::uint64_t noted_version_ = 0;
+    bool bad_version_ = false;
     snapshot_sequence newest_snapshot_ = 0;
     std::string cut_zone_;
     monotonic_time cut_until_{};
--- a/tests/fuzz/world_entry.cpp
+++ b/tests/fuzz/world_entry.cpp
@@ -13,7 +13,8 @@
 } // namespace
 
 target_views
-world::views_of(const fuzz_vm& vm) const
+world::views_of(
+    const fuzz_vm& vm, const version_choice& versions) const
 {
     target_views views(vm.topology->targets.size());
     const auto known = known_vms(vm.members);
@@ -38,6 +39,12 @@
             });
         target_view& view = views[row.self.index];
         view.unusable = unusable_reason(facts);
+        if (versions.preferred.is_valid() &&
+            row.version != versions.preferred &&
+            row.version != versions.fallback)
+        {
+            view.unusable = miss_reason::no_replica;
+        }
         view.weight = row.weight;
         const auto mean = vm.latency.find(row.self.index);
         view.latency_us =
@@ -48,6 +55,86 @@
     return views;
 }
 
+version_choice
+world::versions_of(const fuzz_vm& vm, const std::string& query) const
+{
+    const catalog_service* service = find_service(*vm.topology, "desk");
+    const auto shares = version_shares(vm.moves, *vm.topology);
+    if (fault_ == breakage::share_ignored ||
+        service->self.index >= shares.size())
+    {
+        return {};
+    }
+    return choose_version(shares[service->self.index], query);
+}
+
+void
+world::observe(fuzz_vm& vm, const open_batch& batch, const sub_reply& reply)
+{
+    const catalog_target& row = vm.topology->targets[batch.target.index];
+    if (bad_version_ && reply.error == miss_reason::failed &&
+        vm.topology->versions[row.version.index].name == "v2")
+    {
+        judge.bad_reply(vm.self.id, now_);
+    }
+    if (fault_ == breakage::no_evidence)
+    {
+        return;
+    }
+    version_reply seen;
+    seen.service = row.service;
+    seen.version = row.version;
+    seen.route = find_route(*vm.topology, row.service, "find")->self;
+    seen.target = batch.target;
+    seen.error = reply.error;
+    seen.run = reply.run;
+    seen.elapsed =
+        reply.target_time > 0us ? reply.target_time : now_ - batch.sent;
+    observe_reply(vm.moves, seen);
+}
+
+/// Tests the new version and tells the other VMs.
+void
+world::run_moves(fuzz_vm& vm)
+{
+    const move_clock clock{now_, call_now().unix_ms};
+    (void)evaluate_moves(vm.moves, {{"m1", {1.0, 1.0, {}}}}, clock);
+    const bool changed =
+        vm.moves.withdrawals.size() != vm.withdrawals_sent;
+    vm.withdrawals_sent = vm.moves.withdrawals.size();
+    if (now_ < vm.next_evidence && !changed)
+    {
+        return;
+    }
+    vm.next_evidence = now_ + config::evidence_period;
+    const auto evidence = encode_evidence(vm.moves);
+    for (const known_vm& peer : known_vms(vm.members))
+    {
+        if (peer.identity.id == vm.self.id ||
+            peer.presence != vm_presence::live)
+        {
+            continue;
+        }
+        transmit(vm, peer.identity.id,
+            [this, evidence, from = vm.self](fuzz_vm& to)
+            {
+                (void)receive_evidence(to.moves, from.id, from.incarnation,
+                    evidence, {now_, call_now().unix_ms});
+            });
+        if (changed)
+        {
+            transmit(vm, peer.identity.id,
+                [all = vm.moves.withdrawals](fuzz_vm& to)
+                {
+                    for (const auto& [move, w] : all)
+                    {
+                        (void)withdraw(to.moves, w);
+                    }
+                });
+        }
+    }
+}
+
 void
 world::start_query(fuzz_vm& vm)
 {
@@ -56,21 +143,28 @@
     {
         return;
     }
-    const target_views views = views_of(vm);
-    const snapshot_index* snapshot =
-        choose_snapshot(*vm.routes, service->self, {}, views);
+    open_query query;
+    query.id = "q" + std::to_string(++next_id_);
+    query.versions = versions_of(vm, query.id);
+    const target_views views = views_of(vm, query.versions);
+    const snapshot_index* snapshot = choose_snapshot(
+        *vm.routes, service->self, query.versions.preferred, views);
     if (snapshot == nullptr)
     {
         return;
     }
-    open_query query;
-    query.id = "q" + std::to_string(++next_id_);
+    if (query.versions.preferred.is_valid())
+    {
+        judge.chosen(vm.self.id,
+            vm.topology->versions[query.versions.preferred.index].name, now_);
+    }
     query.deadline = now_ + between(300ms, 900ms);
     query.builder =
         start_answer(snapshot->sequence, all_shards(*snapshot));
     earn(vm.extra, snapshot->shard_count, now_);
     earn(vm.retries, snapshot->shard_count);
     plan_request wanted;
+    wanted.version = query.versions.preferred;
     wanted.shards = all_shards(*snapshot);
     const query_plan plan =
         plan_query(*vm.routes, *snapshot, wanted, views, now_, vm.random);
@@ -201,6 +295,7 @@
     --vm.in_flight[sent.target.index];
     const duration elapsed = now_ - sent.sent;
     const run_state run = reply.run;
+    observe(vm, sent, reply);
     const merge_result merged = merge(query.builder, std::move(reply));
     if (merged.error == miss_reason::none)
     {
@@ -230,11 +325,12 @@
         return;
     }
     plan_request wanted;
+    wanted.version = query.versions.preferred;
     wanted.shards = shards;
     wanted.tried = failed.tried;
     submit(vm, query,
         plan_query(
-            *vm.routes, *snapshot, wanted, views_of(vm), now_, vm.random),
+            *vm.routes, *snapshot, wanted, views_of(vm, query.versions), now_, vm.random),
         failed.tried, failed.attempt + 1, false);
 }
 
@@ -264,11 +360,12 @@
     for (const auto& [batch, shards] : due)
     {
         plan_request wanted;
+        wanted.version = query.versions.preferred;
         wanted.shards = shards;
         wanted.tried = batch.tried;
         submit(vm, query,
             plan_query(
-                *vm.routes, *snapshot, wanted, views_of(vm), now_, vm.random),
+                *vm.routes, *snapshot, wanted, views_of(vm, query.versions), now_, vm.random),
             batch.tried, batch.attempt, true);
     }
 }
--- a/tests/fuzz/world_once.cpp
+++ b/tests/fuzz/world_once.cpp
@@ -118,13 +118,15 @@
 world::send_once(fuzz_vm& vm, once_call call)
 {
     const catalog_service* service = find_service(*vm.topology, "desk");
-    const target_views views = views_of(vm);
-    const snapshot_index* snapshot =
-        choose_snapshot(*vm.routes, service->self, {}, views);
+    const version_choice versions = versions_of(vm, call.attempt);
+    const target_views views = views_of(vm, versions);
+    const snapshot_index* snapshot = choose_snapshot(
+        *vm.routes, service->self, versions.preferred, views);
     query_plan plan;
     if (snapshot != nullptr && call.tried.size() < max_targets_tried)
     {
         plan_request wanted;
+        wanted.version = versions.preferred;
         wanted.shards = {0};
         wanted.tried = call.tried;
         plan = plan_query(
--- a/tests/fuzz/world_owner.cpp
+++ b/tests/fuzz/world_owner.cpp
@@ -13,6 +13,12 @@
 
 constexpr auto no_lease = monotonic_time::min();
 
+bool
+is_sent(const owned_job& job)
+{
+    return !job.wire_id.empty();
+}
+
 } // namespace
 
 monotonic_time
@@ -149,7 +155,7 @@
     judge.sent({job.wire_id, vm.self.id, row.name, job.request.query_id,
                    job.request.snapshot,
                    {job.request.shards.begin(), job.request.shards.end()},
-                   job.request.idempotency_key, deadline},
+                   job.request.idempotency_key, job.request.version, deadline},
         now_);
     const wire_request wire{job.wire_id, vm.self.id, vm.self.incarnation, key,
         job.request, deadline - now_};
@@ -231,6 +237,7 @@
 world::reply_to_entry(fuzz_vm& vm, const owned_job& job, sub_reply reply)
 {
     reply.id = job.request.id;
+    reply.target_time = is_sent(job) ? now_ - job.sent : duration{};
     const auto deliver = [this, reply](fuzz_vm& entry)
     { on_sub_reply(entry, reply); };
     if (job.entry == vm.self.id)
--- a/tests/fuzz/world_targets.cpp
+++ b/tests/fuzz/world_targets.cpp
@@ -17,6 +17,7 @@
 constexpr std::size_t targets_per_zone = 3;
 constexpr std::uint32_t first_shard_count = 4;
 constexpr std::uint32_t table_slots = 3;
+constexpr std::int64_t move_start_ms = 3'600'000; // start of the clock
 
 std::string
 numbered(const char* prefix, std::size_t number)
@@ -25,10 +26,14 @@
 }
 
 /// The first target of a zone holds the lower half of the shards, the second
-/// one the upper half, the third one all.
+/// one the upper half, the third one all; those of the new version all.
 shard_range
 held_shards(std::size_t target, std::uint32_t shard_count)
 {
+    if (target >= zones * targets_per_zone)
+    {
+        return {0, shard_count - 1};
+    }
     const std::uint32_t half = shard_count / 2;
     switch (target % targets_per_zone)
     {
@@ -49,7 +54,7 @@
     {
         rows.push_back({{"name", targets[i].name}, {"service", "desk"},
             {"searcher", i % 2 == 0 ? "fast" : "slow"},
-            {"zone", targets[i].zone}, {"version", "v1"},
+            {"zone", targets[i].zone}, {"version", targets[i].version},
             {"address", "127.0.0.1:" + std::to_string(9000 + i)}});
     }
     return {{"zones", {{{"name", "z0"}}, {{"name", "z1"}}}},
@@ -62,8 +67,12 @@
                  {"cold_limit", table_slots}},
                 {{"service", "desk"}, {"name", "slow"}, {"slots", table_slots},
                     {"cold_limit", 1}}}},
-        {"versions", {{{"service", "desk"}, {"name", "v1"}}}},
-        {"targets", rows}, {"moves", json::array()}};
+        {"versions", {{{"service", "desk"}, {"name", "v1"}},
+                         {{"service", "desk"}, {"name", "v2"}}}},
+        {"targets", rows},
+        {"moves", {{{"name", "m1"}, {"service", "desk"}, {"from", "v1"},
+                      {"to", "v2"}, {"start_ms", move_start_ms},
+                      {"deadline_ms", move_start_ms + 600'000}}}}};
 }
 
 } // namespace
@@ -75,6 +84,16 @@
         fake_target target;
         target.name = numbered("t", i);
         target.zone = numbered("z", i / targets_per_zone);
+        target.version = "v1";
+        targets_.push_back(target);
+        judge.target_started(target.name, target.instance());
+    }
+    for (std::size_t i = 0; i < zones; ++i)
+    {
+        fake_target target;
+        target.name = numbered("new", i);
+        target.zone = numbered("z", i);
+        target.version = "v2";
         targets_.push_back(target);
         judge.target_started(target.name, target.instance());
     }
@@ -138,8 +157,15 @@
             fake_target& after = target_of(wire.request.target_name);
             if (after.run == run)
             {
-                judge.ended(wire.id, whole);
-                if (whole)
+                const bool failed = bad_version_ && after.version == "v2";
+                judge.ended(wire.id, whole && !failed);
+                if (whole && failed)
+                {
+                    respond(wire, 500,
+                        json{{"request_id", wire.id}, {"run", "run"}}.dump(),
+                        0us);
+                }
+                else if (whole)
                 {
                     respond_rows(wire, after);
                 }
@@ -296,6 +322,10 @@
     case command_kind::repartition:
         repartition();
         break;
+    case command_kind::bad_version:
+        bad_version_ = c.amount % 4 != 0;
+        judge.version_bad("v2", bad_version_);
+        break;
     default:
         break;
     }
@@ -421,11 +451,13 @@
         break;
     case command_kind::pause_vm:
         vm.paused_until = now_ + time;
+        judge.links_disturbed(vm.paused_until);
         judge.vm_disturbed(vm.self.id, vm.paused_until);
         break;
     case command_kind::kill_vm:
         if (is_spare(vm))
         {
+            judge.links_disturbed(now_);
             kill_vm(vm);
         }
         break;
@@ -442,6 +474,7 @@
     case command_kind::cut_zone:
         cut_zone_ = numbered("z", c.subject % zones);
         cut_until_ = now_ + time;
+        judge.links_disturbed(cut_until_);
         for (const auto& [id, other] : vms_)
         {
             if (other->self.zone == cut_zone_)
@@ -452,6 +485,7 @@
         break;
     case command_kind::bad_links:
         bad_links_until_ = now_ + time;
+        judge.links_disturbed(bad_links_until_);
         break;
     default:
         break;
