--- a/Makefile
+++ b/Makefile
@@ -59,3 +59,7 @@
 
 clean:
 	rm -rf build build-asan build-tsan
+
+## demo          start a local fleet and show the system at work
+demo: build
+	@scripts/demo.sh $(BUILD)
