--- a/src/caller_server.cpp
+++ b/src/caller_server.cpp
@@ -1,5 +1,6 @@
 #include "caller_server.hpp"
 
+#include "config.hpp"
 #include "log_events.hpp"
 
 namespace bramleymux
@@ -249,7 +250,14 @@
 bool
 caller_server::is_ready() const
 {
-    return ready_.load() && context_.board.topology.get() != nullptr;
+    const auto topology = context_.board.topology.get();
+    const auto routes = context_.board.routes.get();
+    if (!ready_.load() || !topology || !routes)
+    {
+        return false;
+    }
+    return covers_every_service(*routes, *topology) ||
+           monotonic_clock::now() >= started_ + config::ready_grace;
 }
 
 } // namespace bramleymux
--- a/src/caller_server.hpp
+++ b/src/caller_server.hpp
@@ -40,7 +40,8 @@
     bool
     drain(monotonic_time until);
 
-    /// Ready once there is a table and a route to targets.
+    /// Ready once there is a table and a snapshot of every service, so that a
+    /// new VM does not refuse what the others can answer.
     bool
     is_ready() const;
 
@@ -60,6 +61,7 @@
 
     settings settings_;
     std::string id_prefix_;
+    monotonic_time started_ = monotonic_clock::now();
     query_context context_;
     admission_gate& gate_;
     write_runner write_;
--- a/src/config.hpp
+++ b/src/config.hpp
@@ -181,6 +181,9 @@
 // Threads kept for refusals; services below their floor may use some of them.
 inline constexpr std::size_t reserved_caller_threads = 8;
 inline constexpr std::size_t refusal_threads = 2;
+// Readiness waits this long after the start for a snapshot of every service;
+// a service that has lost all targets must not keep a VM unready.
+inline constexpr auto ready_grace = 10s;
 // Sum of the floors of services whose row sets none.
 inline constexpr double default_floor_total = 0.05;
 
--- a/src/routing_index.cpp
+++ b/src/routing_index.cpp
@@ -114,6 +114,19 @@
     return result;
 }
 
+bool
+has_whole_snapshot(const service_index* service)
+{
+    return service != nullptr &&
+           std::any_of(service->snapshots.begin(), service->snapshots.end(),
+               [](const snapshot_index& snapshot)
+               {
+                   return std::none_of(snapshot.groups.begin(),
+                       snapshot.groups.end(),
+                       [](const shard_group& g) { return g.replicas.empty(); });
+               });
+}
+
 std::shared_ptr<const service_index>
 compile_service(const catalog& c, const std::vector<target_report>& reports,
     service_handle service)
@@ -207,6 +220,19 @@
         });
 }
 
+bool
+covers_every_service(const routing_index& index, const catalog& c)
+{
+    return std::all_of(c.targets.begin(), c.targets.end(),
+        [&](const catalog_target& target)
+        {
+            const std::size_t service = target.service.index;
+            return !target.self.is_valid() ||
+                   (service < index.services.size() &&
+                       has_whole_snapshot(index.services[service].get()));
+        });
+}
+
 const snapshot_index*
 find_snapshot(const routing_index& index, service_handle service,
     snapshot_sequence sequence)
--- a/src/routing_index.hpp
+++ b/src/routing_index.hpp
@@ -56,6 +56,11 @@
 bool
 same_holdings(const target_report& a, const target_report& b);
 
+/// Whether every service that has targets has a snapshot with a holder of each
+/// shard.
+bool
+covers_every_service(const routing_index& index, const catalog& c);
+
 /// Snapshot of a sequence, or null.
 const snapshot_index*
 find_snapshot(const routing_index& index, service_handle service,
--- a/tests/test_routing.cpp
+++ b/tests/test_routing.cpp
@@ -45,6 +45,30 @@
 
 } // namespace
 
+// Guards against a new VM that reports readiness and refuses queries, because
+// it knows of no holder of some shard yet.
+TEST_CASE("a service is covered by a snapshot with all shards", "[routing]")
+{
+    auto f = make_fleet(2, 2, 5);
+    const auto covered = [&]
+    {
+        return covers_every_service(
+            *build_routing_index(f.names, f.reports), f.names);
+    };
+    CHECK(covered());
+    f.reports[0].snapshots.push_back({2, 12, {{0, 5}}});
+    CHECK(covered());
+    for (auto& report : f.reports)
+    {
+        report.snapshots.clear();
+    }
+    CHECK_FALSE(covered());
+    f.reports[0].snapshots.push_back({1, 10, {{0, 4}}});
+    CHECK_FALSE(covered());
+    f.reports[2].snapshots.push_back({1, 10, {{5, 9}}});
+    CHECK(covered());
+}
+
 // Guards against answers from a snapshot that is still being loaded, and
 // against one that no usable target can serve.
 TEST_CASE("the newest whole snapshot is chosen", "[routing]")
