--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -11,27 +11,31 @@
 platform=127.1.0.1:9000
 control=127.1.0.2:7300
 declare -A pids=()
+policies="baseline adaptive"
 
 if [ "${QUICK:-0}" = 1 ]; then
     wide="quiet stragglers edits"
     narrow=""
+    moves=""
     seconds=3
     edits=10
 else
     wide="quiet stragglers cold zone edits replica repartition outage rolling"
     narrow="overload"
+    moves="moves"
     seconds=${SECONDS_EACH:-12}
     edits=100
 fi
 if [ -n "${SCENARIOS:-}" ]; then
     wide=""
     narrow=""
+    moves=""
     for scenario in $SCENARIOS; do
-        if [ "$scenario" = overload ]; then
-            narrow=overload
-        else
-            wide="$wide $scenario"
-        fi
+        case $scenario in
+        overload) narrow=overload ;;
+        moves) moves=moves ;;
+        *) wide="$wide $scenario" ;;
+        esac
     done
 fi
 
@@ -133,7 +137,7 @@
     local shape=$1 policy scenario
     shift
     [ $# -gt 0 ] || return 0
-    for policy in baseline adaptive; do
+    for policy in $policies; do
         start_fleet "$shape" "$policy"
         warm_up=4
         for scenario in "$@"; do
@@ -150,8 +154,11 @@
 vms=()
 # shellcheck disable=SC2086
 run_shape wide $wide
-# shellcheck disable=SC2086
-run_shape narrow $narrow
+run_shape narrow ${narrow:+"$narrow"}
+# The baseline has no version moves to compare with.
+policies=adaptive
+seconds=${SECONDS_MOVES:-100}
+run_shape moves ${moves:+"$moves"}
 status=0
 "$bench" report --directory "$out" --out "$out/report.json" \
     ${CHECK:+--check} | tee "$out/report.md" || status=$?
--- a/tools/bramleymux_bench/scenario.cpp
+++ b/tools/bramleymux_bench/scenario.cpp
@@ -8,6 +8,7 @@
 #include <filesystem>
 #include <fstream>
 #include <functional>
+#include <limits>
 #include <stdexcept>
 
 namespace bramleymux::tools
@@ -26,6 +27,9 @@
 constexpr const char* zone_taken_out = "east";
 constexpr std::uint32_t second_shard_count = 80;
 constexpr double outage_record_share = 0.3;
+// To each VM, which serves 32 connections by default; some are for the check of
+// readiness.
+constexpr std::size_t overload_connections = 28;
 // Warm-up load against the measured load's rates, below capacity in each shape.
 constexpr double warm_up_rate = 0.4;
 constexpr std::uint64_t warm_up_seed = 1000;
@@ -73,6 +77,10 @@
     double
     wait_in_force(std::uint64_t version, monotonic_time since) const;
     void
+    start_moves();
+    void
+    add_move_figures(const json& targets);
+    void
     add_cold_figures(const json& targets);
     std::string
     unique_id(const std::string& name) const;
@@ -110,6 +118,11 @@
                          options_.kind == scenario_kind::rolling;
     out.record_share = records ? outage_record_share : 0;
     out.key_prefix = unique_id("key") + "-";
+    if (options_.kind == scenario_kind::overload)
+    {
+        out.connections = overload_connections;
+        out.workers = overload_connections * options_.shape.vms.size();
+    }
     return out;
 }
 
@@ -288,6 +301,8 @@
         return {{1, [this] { replace_all_vms(); }}};
     case scenario_kind::edits:
         return {{1, [this] { run_edits(); }}};
+    case scenario_kind::moves:
+        return {{1, [this] { start_moves(); }}};
     case scenario_kind::repartition:
     {
         const auto snapshots = [](const json& list) {
@@ -306,6 +321,77 @@
     }
 }
 
+void
+scenario_run::start_moves()
+{
+    const auto fail = [](const char* service, const json& faults)
+    {
+        script_targets({{"match", {{"service", service}, {"version", "v2"}}},
+            {"faults", {{"fail", faults}}}});
+    };
+    fail("exam-desk-bad", {{"probability", 0.5}});
+    fail("exam-desk-route", {{"probability", 1.0}, {"route", "lineage"}});
+    const std::int64_t start = unix_milliseconds();
+    const auto length = static_cast<std::int64_t>(options_.seconds * 1000);
+    for (const bench_service& service : options_.shape.services)
+    {
+        edit_row(options_.shape.vms.front(), unique_id(service.name),
+            "move/" + service.name,
+            {{"start_ms", start}, {"deadline_ms", start + length - 3000}});
+    }
+}
+
+/// Moves by the table's state; what the new versions got by the targets.
+void
+scenario_run::add_move_figures(const json& targets)
+{
+    if (options_.kind != scenario_kind::moves)
+    {
+        return;
+    }
+    const json table =
+        call_json(options_.shape.vms.back().admin(), "GET", "/v1/table");
+    double bad_withdrawn = 0;
+    double good_done = 0;
+    for (const json& row : table.at("table").at("moves"))
+    {
+        const bool good = row.at("name") == "exam-desk-good";
+        good_done += good && row.at("state") == "done" ? 1 : 0;
+        bad_withdrawn += !good && row.at("state") == "withdrawn" ? 1 : 0;
+        figures_["moves"].push_back(row);
+    }
+    figures_["good_moves_done"] = good_done;
+    figures_["bad_moves_withdrawn"] = bad_withdrawn;
+    double most_share = 0;
+    double longest_s = 0;
+    for (const char* name : {"exam-desk-bad", "exam-desk-route"})
+    {
+        double all = 0;
+        double bad = 0;
+        std::int64_t first = std::numeric_limits<std::int64_t>::max();
+        std::int64_t last = 0;
+        for (const auto& item : targets.items())
+        {
+            const json& t = item.value();
+            const double started = t.at("started").get<double>();
+            all += t.at("service") == name ? started : 0;
+            if (t.at("service") != name || t.at("version") != "v2" ||
+                started == 0)
+            {
+                continue;
+            }
+            bad += started;
+            first = std::min(first, t.at("first_work_ms").get<std::int64_t>());
+            last = std::max(last, t.at("last_work_ms").get<std::int64_t>());
+        }
+        most_share = std::max(most_share, all > 0 ? bad / all : 0);
+        longest_s = std::max(
+            longest_s, bad > 0 ? static_cast<double>(last - first) / 1000 : 0);
+    }
+    figures_["bad_version_share"] = most_share;
+    figures_["bad_version_s"] = longest_s;
+}
+
 void
 scenario_run::add_cold_figures(const json& targets)
 {
@@ -329,7 +415,9 @@
     run_data run;
     run.shape = &options_.shape;
     run.before = read_fleet(options_.shape);
-    caller_load load(make_load());
+    const load_options options = make_load();
+    run.deadline_ms = static_cast<double>(options.deadline.count());
+    caller_load load(options);
     load.start();
     const auto begin = monotonic_clock::now();
     for (const timed_step& step : steps())
@@ -348,13 +436,9 @@
     run.seconds = ends_by_event() ? run.seconds : options_.seconds;
     run.after = read_fleet(options_.shape);
     add_cold_figures(run.after.targets);
+    add_move_figures(run.after.targets);
     script_targets({{"action", "heal"}});
     figures_.update(summarize(run));
-    if (options_.kind == scenario_kind::rolling)
-    {
-        // A replaced daemon's counters are lost, so this is unknown.
-        figures_.erase("extra_load");
-    }
     return figures_;
 }
 
--- a/tools/bramleymux_bench/scenario.hpp
+++ b/tools/bramleymux_bench/scenario.hpp
@@ -18,12 +18,13 @@
     repartition,
     outage,
     overload,
+    moves, ///< one good, one bad at once, one bad on one route
     count
 };
 
 inline constexpr name_table<scenario_kind> scenario_names{"quiet", "stragglers",
     "cold", "zone", "rolling", "edits", "replica", "repartition", "outage",
-    "overload"};
+    "overload", "moves"};
 
 struct scenario_options
 {
--- a/tools/bramleymux_bench/shape.cpp
+++ b/tools/bramleymux_bench/shape.cpp
@@ -37,11 +37,20 @@
     return out;
 }
 
+std::vector<std::string>
+versions_of(const bench_service& service)
+{
+    return service.moving ? std::vector<std::string>{"v1", "v2"}
+                          : std::vector<std::string>{"v1"};
+}
+
 std::string
-target_address(std::uint32_t service, std::uint32_t index)
+target_address(
+    std::uint32_t service, std::uint32_t index, const std::string& version)
 {
+    const std::uint32_t port = 7000 + service + (version == "v1" ? 0 : 100);
     return "127.1." + std::to_string(zone_of_target(service, index) + 1) + "." +
-           std::to_string(100 + index) + ":" + std::to_string(7000 + service);
+           std::to_string(100 + index) + ":" + std::to_string(port);
 }
 
 void
@@ -70,6 +79,19 @@
         {"vm_lag_ms", 2000}, {"vms", vms}};
 }
 
+json
+simulated_target(const bench_service& service, std::uint32_t s, std::uint32_t i,
+    const std::string& version)
+{
+    return {{"name", target_name(service, i, version)},
+        {"address", target_address(s, i, version)}, {"service", service.name},
+        {"version", version}, {"zone", bench_zones[zone_of_target(s, i)]},
+        {"slots", service.slots}, {"connections", service.connections},
+        {"connect_cost_ms", service.connect_cost_ms},
+        {"placement", {{"index", i}, {"of", service.searchers},
+                          {"copies", bench_copies}}}};
+}
+
 json
 targets_json(const bench_shape& shape)
 {
@@ -81,15 +103,12 @@
         services.push_back({{"name", service.name}, {"row_count", service.rows},
             {"snapshots",
                 {{{"sequence", 1}, {"shard_count", service.shards}}}}});
-        for (std::uint32_t i = 0; i < service.searchers; ++i)
+        for (const std::string& version : versions_of(service))
         {
-            targets.push_back({{"name", target_name(service, i)},
-                {"address", target_address(s, i)}, {"service", service.name},
-                {"version", "v1"}, {"zone", bench_zones[zone_of_target(s, i)]},
-                {"slots", service.slots}, {"connections", service.connections},
-                {"connect_cost_ms", service.connect_cost_ms},
-                {"placement", {{"index", i}, {"of", service.searchers},
-                                  {"copies", bench_copies}}}});
+            for (std::uint32_t i = 0; i < service.searchers; ++i)
+            {
+                targets.push_back(simulated_target(service, s, i, version));
+            }
         }
     }
     return {{"seed", 1}, {"services", services}, {"targets", targets},
@@ -113,18 +132,36 @@
             {"worth", route == "lineage" ? shape.lineage_worth : 1.0},
             {"idempotent", route != "record"}});
     }
-    table["versions"].push_back({{"service", service.name}, {"name", "v1"},
-        {"weight", 1.0}, {"max_share", 1.0}});
     for (std::uint32_t i = 0; i < service.searchers; ++i)
     {
-        const std::string name = target_name(service, i);
-        table["searchers"].push_back({{"service", service.name}, {"name", name},
-            {"slots", service.slots}, {"connections", service.connections},
-            {"cold_limit", 1}, {"connect_cost_ms", service.connect_cost_ms}});
-        table["targets"].push_back({{"name", name}, {"service", service.name},
-            {"searcher", name}, {"zone", bench_zones[zone_of_target(s, i)]},
-            {"version", "v1"}, {"address", target_address(s, i)},
-            {"weight", 1.0}, {"draining", false}});
+        table["searchers"].push_back({{"service", service.name},
+            {"name", target_name(service, i)}, {"slots", service.slots},
+            {"connections", service.connections}, {"cold_limit", 1},
+            {"connect_cost_ms", service.connect_cost_ms}});
+    }
+    for (const std::string& version : versions_of(service))
+    {
+        table["versions"].push_back({{"service", service.name},
+            {"name", version}, {"weight", 1.0}, {"max_share", 1.0}});
+        for (std::uint32_t i = 0; i < service.searchers; ++i)
+        {
+            table["targets"].push_back(
+                {{"name", target_name(service, i, version)},
+                    {"service", service.name},
+                    {"searcher", target_name(service, i)},
+                    {"zone", bench_zones[zone_of_target(s, i)]},
+                    {"version", version},
+                    {"address", target_address(s, i, version)}, {"weight", 1.0},
+                    {"draining", false}});
+        }
+    }
+    if (service.moving)
+    {
+        // Starts in the year 2100 unless edited.
+        table["moves"].push_back(
+            {{"name", service.name}, {"service", service.name}, {"from", "v1"},
+                {"to", "v2"}, {"start_ms", 4'102'444'800'000},
+                {"deadline_ms", 4'102'444'900'000}, {"soak_ms", 3'000}});
     }
 }
 
@@ -133,7 +170,8 @@
 {
     json table{{"zones", json::array()}, {"services", json::array()},
         {"routes", json::array()}, {"searchers", json::array()},
-        {"versions", json::array()}, {"targets", json::array()}};
+        {"versions", json::array()}, {"targets", json::array()},
+        {"moves", json::array()}};
     for (const char* zone : bench_zones)
     {
         table["zones"].push_back({{"name", zone}, {"region", "main"},
@@ -176,6 +214,15 @@
         }
         return out;
     }
+    if (name == "moves")
+    {
+        for (const char* service :
+            {"exam-desk-good", "exam-desk-bad", "exam-desk-route"})
+        {
+            out.services.push_back({service, 3, 8, 64, 4, 35, 6, 1, 200, true});
+        }
+        return out;
+    }
     if (name != "narrow")
     {
         throw std::runtime_error("no such shape: " + name);
@@ -205,9 +252,11 @@
 }
 
 std::string
-target_name(const bench_service& service, std::uint32_t index)
+target_name(const bench_service& service, std::uint32_t index,
+    const std::string& version)
 {
-    return service.name + "-" + std::to_string(index);
+    const std::string name = service.name + "-" + std::to_string(index);
+    return version == "v1" ? name : name + "-" + version;
 }
 
 expected_rows
--- a/tools/bramleymux_bench/shape.hpp
+++ b/tools/bramleymux_bench/shape.hpp
@@ -22,7 +22,8 @@
     std::uint32_t connections = 35;
     std::uint32_t connect_cost_ms = 6;
     double worth = 1;
-    double per_s = 10; ///< queries a second
+    double per_s = 10;   ///< queries a second
+    bool moving = false; ///< has targets of v2 as well, and a move row
 };
 
 struct bench_vm
@@ -66,8 +67,9 @@
 inline constexpr const char* wide_service = "club-portal"; ///< 100 shards
 inline constexpr std::uint32_t bench_copies = 2;
 
-/// `name` is "wide" (100-shard fan-out beside narrow services) or "narrow"
-/// (slow targets of few services, so that their capacity is soon reached).
+/// `name` is "wide" (100-shard fan-out beside narrow services), "narrow" (slow
+/// targets of few services, so that their capacity is soon reached) or "moves"
+/// (services with two versions, each with a move that starts when edited).
 /// Throws std::runtime_error for another name.
 bench_shape
 make_shape(const std::string& name);
@@ -78,7 +80,8 @@
 capacity_per_s(const bench_shape& shape, const bench_service& service);
 
 std::string
-target_name(const bench_service& service, std::uint32_t index);
+target_name(const bench_service& service, std::uint32_t index,
+    const std::string& version = "v1");
 
 expected_rows
 rows_of(const bench_service& service);
--- a/tools/bramleymux_bench/summary.cpp
+++ b/tools/bramleymux_bench/summary.cpp
@@ -190,7 +190,9 @@
                 continue;
             }
             offered.push_back(s.worth);
-            if (s.outcome == call_outcome::answered && s.answer.asked > 0)
+            // An answer after the deadline is of no use to the caller.
+            if (s.outcome == call_outcome::answered && s.answer.asked > 0 &&
+                s.latency_ms <= run.deadline_ms)
             {
                 served += s.worth * static_cast<double>(s.answer.answered) /
                           static_cast<double>(s.answer.asked);
@@ -220,17 +222,20 @@
         worst = std::max(worst, offered);
         most = std::max(most, offered - slots);
     }
-    const double requests = target_growth(run, "", "requests");
-    // The daemons' count of sub-requests includes hedges and retries.
-    const double first = vm_growth(run, "sub_requests") -
-                         vm_growth(run, "sub_requests_hedged") -
-                         vm_growth(run, "sub_requests_retried");
-    const double shards = vm_growth(run, "shards_asked");
+    // Answered queries asked for these shards; what the targets started
+    // beyond them is hedges, retries and work for queries without an answer.
+    double asked = 0;
+    for (const call_sample& s : run.samples)
+    {
+        asked += static_cast<double>(s.answer.asked);
+    }
+    const double shards = target_growth(run, "", "shards_started");
     out["worst_concurrent"] = worst;
     out["most_above_limit"] = most;
-    out["target_requests"] = requests;
-    out["requests_per_shard"] = shards > 0 ? requests / shards : 0;
-    out["extra_load"] = first > 0 ? (requests - first) / first : 0;
+    out["target_requests"] = target_growth(run, "", "requests");
+    out["requests_per_shard"] =
+        asked > 0 ? target_growth(run, "", "requests") / asked : 0;
+    out["extra_load"] = asked > 0 ? shards / asked - 1 : 0;
     out["sheds"] = target_growth(run, "", "sheds");
     out["cancelled"] = target_growth(run, "", "cancelled");
     const double started = target_growth(run, "", "started");
--- a/tools/bramleymux_bench/summary.hpp
+++ b/tools/bramleymux_bench/summary.hpp
@@ -21,6 +21,7 @@
     const bench_shape* shape = nullptr;
     std::vector<call_sample> samples;
     double seconds = 0;
+    double deadline_ms = 0;
     fleet_counters before;
     fleet_counters after;
 };
--- a/tools/common/bench_targets.cpp
+++ b/tools/common/bench_targets.cpp
@@ -11,7 +11,7 @@
 namespace
 {
 
-// "Stated benchmark targets" and requirements R4, R8 and R11 of the design.
+// "Stated benchmark targets" and requirements R4, R5, R8 and R11 of the design.
 constexpr double straggler_p99_ratio = 0.3;
 constexpr double extra_load_share = 0.05;
 constexpr double quiet_p99_ratio = 1.05;
@@ -20,6 +20,10 @@
 constexpr double zone_out_s = 2.0;
 constexpr double edit_s = 2.0;
 constexpr double served_worth_share = 0.9;
+constexpr double bad_version_share = 0.05;
+constexpr double bad_version_s = 1.0; ///< of work after its faults show
+constexpr double good_moves = 1;      ///< of the scenario
+constexpr double bad_moves = 2;
 
 double
 figure(const json& run, const char* name)
@@ -133,6 +137,13 @@
         list.at_least("served_worth_share", served_worth_share);
         list.at_most("most_above_limit", 0);
     }
+    else if (scenario == "moves")
+    {
+        list.at_most("bad_version_share", bad_version_share);
+        list.at_most("bad_version_s", bad_version_s);
+        list.at_least("bad_moves_withdrawn", bad_moves);
+        list.at_least("good_moves_done", good_moves);
+    }
     return list.take();
 }
 
--- a/tools/target_standin/target.cpp
+++ b/tools/target_standin/target.cpp
@@ -329,6 +329,7 @@
 {
     ++running_;
     ++stats_.started;
+    stats_.shards_started += w.shards.size();
     stats_.worst_running = std::max(stats_.worst_running, running_);
     stats_.last_work_ms = unix_ms();
     if (stats_.first_work_ms == 0)
@@ -553,7 +554,8 @@
         {"cold", cold_}, {"draining", draining_}, {"running", running_},
         {"queued", queued_}, {"slots", config_.slots},
         {"connections", s.connections}, {"requests", s.requests},
-        {"started", s.started}, {"executed", s.executed}, {"sheds", s.sheds},
+        {"started", s.started}, {"shards_started", s.shards_started},
+        {"executed", s.executed}, {"sheds", s.sheds},
         {"refused_draining", s.refused_draining},
         {"refused_snapshot", s.refused_snapshot},
         {"refused_version", s.refused_version}, {"failures", s.failures},
--- a/tools/target_standin/target.hpp
+++ b/tools/target_standin/target.hpp
@@ -15,6 +15,7 @@
     std::uint64_t connections = 0; ///< accepted
     std::uint64_t requests = 0;    ///< search and execute
     std::uint64_t started = 0;
+    std::uint64_t shards_started = 0; ///< shards of the started requests
     std::uint64_t executed = 0;
     std::uint64_t sheds = 0;
     std::uint64_t refused_draining = 0;
