--- a/tools/bramleymux_bench/shape.cpp
+++ b/tools/bramleymux_bench/shape.cpp
@@ -80,16 +80,17 @@
 }
 
 json
-simulated_target(const bench_service& service, std::uint32_t s, std::uint32_t i,
+simulated_target(const bench_shape& shape, std::uint32_t s, std::uint32_t i,
     const std::string& version)
 {
+    const bench_service& service = shape.services[s];
     return {{"name", target_name(service, i, version)},
         {"address", target_address(s, i, version)}, {"service", service.name},
         {"version", version}, {"zone", bench_zones[zone_of_target(s, i)]},
         {"slots", service.slots}, {"connections", service.connections},
         {"connect_cost_ms", service.connect_cost_ms},
         {"placement", {{"index", i}, {"of", service.searchers},
-                          {"copies", bench_copies}}}};
+                          {"copies", shape.copies}}}};
 }
 
 json
@@ -107,7 +108,7 @@
         {
             for (std::uint32_t i = 0; i < service.searchers; ++i)
             {
-                targets.push_back(simulated_target(service, s, i, version));
+                targets.push_back(simulated_target(shape, s, i, version));
             }
         }
     }
@@ -228,6 +229,9 @@
         throw std::runtime_error("no such shape: " + name);
     }
     out.median_us = 40'000;
+    // With replicas, the capacity would depend on how many targets the routing
+    // asks for a query.
+    out.copies = 1;
     out.lineage_worth = 4;
     for (int i = 1; i <= 4; ++i)
     {
@@ -244,10 +248,10 @@
 {
     const double mean_s =
         shape.median_us / 1e6 * std::exp(shape.sigma * shape.sigma / 2);
-    // With two copies of each shard on consecutive targets, half of the
-    // targets, rounded up, hold every shard.
+    // Copies of a shard are on consecutive targets, so every `copies`th target
+    // is needed to hold all shards.
     const std::uint32_t asked =
-        (service.searchers + bench_copies - 1) / bench_copies;
+        (service.searchers + shape.copies - 1) / shape.copies;
     return service.searchers * service.slots / mean_s / asked;
 }
 
--- a/tools/bramleymux_bench/shape.hpp
+++ b/tools/bramleymux_bench/shape.hpp
@@ -57,6 +57,7 @@
     std::vector<bench_vm> vms;
     double median_us = 5000; ///< of a target's reply
     double sigma = 0.3;
+    std::uint32_t copies = 2; ///< replicas of each shard
     double lineage_worth = 1; ///< of the route, against 1 of the others
 };
 
@@ -65,7 +66,6 @@
 inline constexpr const char* platform_address = "127.1.0.1:9000";
 inline constexpr const char* target_control_address = "127.1.0.2:7300";
 inline constexpr const char* wide_service = "club-portal"; ///< 100 shards
-inline constexpr std::uint32_t bench_copies = 2;
 
 /// `name` is "wide" (100-shard fan-out beside narrow services), "narrow" (slow
 /// targets of few services, so that their capacity is soon reached) or "moves"
