--- a/src/caller_server.cpp
+++ b/src/caller_server.cpp
@@ -1,9 +1,8 @@
 #include "caller_server.hpp"
 
+#include "config.hpp"
 #include "log_events.hpp"
 
-#include <algorithm>
-
 namespace bramleymux
 {
 
@@ -39,27 +38,6 @@
     return out;
 }
 
-/// Whether some service has a snapshot to answer from, or there is none to
-/// wait for.
-bool
-can_answer(const blackboard& board)
-{
-    const auto topology = board.topology.get();
-    const auto routes = board.routes.get();
-    if (!topology || !routes)
-    {
-        return false;
-    }
-    const auto has_snapshot = [](const auto& service)
-    { return service != nullptr && !service->snapshots.empty(); };
-    const auto has_target = [](const catalog_target& t)
-    { return t.self.is_valid(); };
-    return std::any_of(routes->services.begin(), routes->services.end(),
-               has_snapshot) ||
-           std::none_of(
-               topology->targets.begin(), topology->targets.end(), has_target);
-}
-
 } // namespace
 
 caller_server::caller_server(const settings& values, std::string vm_id,
@@ -273,7 +251,14 @@
 bool
 caller_server::is_ready() const
 {
-    return ready_.load() && can_answer(context_.board);
+    const auto topology = context_.board.topology.get();
+    const auto routes = context_.board.routes.get();
+    if (!ready_.load() || !topology || !routes)
+    {
+        return false;
+    }
+    return covers_every_service(*routes, *topology) ||
+           monotonic_clock::now() >= started_ + config::ready_grace;
 }
 
 } // namespace bramleymux
