--- a/src/caller_server.cpp
+++ b/src/caller_server.cpp
@@ -2,6 +2,8 @@
 
 #include "log_events.hpp"
 
+#include <algorithm>
+
 namespace bramleymux
 {
 
@@ -37,6 +39,27 @@
     return out;
 }
 
+/// Whether some service has a snapshot to answer from, or there is none to
+/// wait for.
+bool
+can_answer(const blackboard& board)
+{
+    const auto topology = board.topology.get();
+    const auto routes = board.routes.get();
+    if (!topology || !routes)
+    {
+        return false;
+    }
+    const auto has_snapshot = [](const auto& service)
+    { return service != nullptr && !service->snapshots.empty(); };
+    const auto has_target = [](const catalog_target& t)
+    { return t.self.is_valid(); };
+    return std::any_of(routes->services.begin(), routes->services.end(),
+               has_snapshot) ||
+           std::none_of(
+               topology->targets.begin(), topology->targets.end(), has_target);
+}
+
 } // namespace
 
 caller_server::caller_server(const settings& values, std::string vm_id,
@@ -147,6 +170,7 @@
     {
         result.problem = service == nullptr ? problem_code::unknown_service
                                             : problem_code::unknown_route;
+        result.detail = service == nullptr ? request.service : request.route;
         return result;
     }
     if (!route->idempotent && request.idempotency_key.empty())
@@ -249,7 +273,7 @@
 bool
 caller_server::is_ready() const
 {
-    return ready_.load() && context_.board.topology.get() != nullptr;
+    return ready_.load() && can_answer(context_.board);
 }
 
 } // namespace bramleymux
--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -196,7 +196,7 @@
       callers(v, self.id, self.incarnation, make_query_context(), gate,
           [this](const caller_request& r)
           { return run_write(make_query_context(), records, r); }),
-      admin({board, table_calls, fleet, reports, executor, counters, self.id,
+      admin({board, platform, fleet, reports, executor, counters, self.id,
                 [this] { return moves.status(); }},
           v.admin_token_file)
 {
@@ -364,7 +364,7 @@
                   : target.slots + spare_connections;
 }
 
-daemon::daemon(settings values) : parts_(std::make_unique<parts>(values))
+daemon::daemon(const settings& values) : parts_(std::make_unique<parts>(values))
 {
     parts& p = *parts_;
     if (!p.peers.start())
@@ -422,6 +422,10 @@
 void
 daemon::reload()
 {
+    if (parts_->values.tls.peer_certificate.empty())
+    {
+        return;
+    }
     const bool reloaded = parts_->peers.reload_tls();
     log_event(
         reloaded ? event::tls_reloaded : event::tls_reload_failed, "port=peer");
--- a/src/daemon.hpp
+++ b/src/daemon.hpp
@@ -12,7 +12,7 @@
 {
 public:
     /// Throws std::runtime_error when an address cannot be bound.
-    explicit daemon(settings values);
+    explicit daemon(const settings& values);
     ~daemon();
 
     daemon(const daemon&) = delete;
--- a/src/fleet_controller.cpp
+++ b/src/fleet_controller.cpp
@@ -278,7 +278,7 @@
 }
 
 void
-fleet_controller::apply_distribution(distribution_result result)
+fleet_controller::apply_distribution(const distribution_result& result)
 {
     if (result.adopted)
     {
--- a/src/fleet_controller.hpp
+++ b/src/fleet_controller.hpp
@@ -127,7 +127,7 @@
     void
     handle_ownership(const peer_message& message, monotonic_time now);
     void
-    apply_distribution(distribution_result result);
+    apply_distribution(const distribution_result& result);
     void
     tick(monotonic_time now);
     void
--- a/src/log_events.cpp
+++ b/src/log_events.cpp
@@ -55,7 +55,7 @@
         {1802, level::info, "controller_lease_lost",
             "This VM no longer holds the controller lease."},
         {1803, level::info, "idempotency_voided",
-            "A record of a request that never ran was removed."},
+            "Kept writes of idempotency records were done or given up."},
         {1901, level::info, "tls_reloaded", "Certificates were read again."},
         {1902, level::error, "tls_reload_failed",
             "New certificates could not be read; the old ones stay in use."},
--- a/src/move_controller.cpp
+++ b/src/move_controller.cpp
@@ -104,6 +104,7 @@
             }
         }
         std::vector<searcher_capacity> capacities;
+        capacities.reserve(searchers.size());
         for (const auto& [name, capacity] : searchers)
         {
             capacities.push_back(capacity);
@@ -125,7 +126,10 @@
 {
     for (const move_event& e : events)
     {
-        log_event(log_event_of(e.kind), "move=" + e.move + " " + e.detail);
+        const bool is_step = e.kind == move_event_kind::step;
+        log_event(log_event_of(e.kind),
+            "move=" + e.move +
+                (is_step ? " " + e.detail : " detail=\"" + e.detail + "\""));
     }
 }
 
--- a/src/platform_budget.cpp
+++ b/src/platform_budget.cpp
@@ -146,6 +146,13 @@
     note_call(budget_, is_reachable, now, random_);
 }
 
+bool
+shared_budget::is_out()
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return budget_.is_out;
+}
+
 void
 shared_budget::set_fleet(std::size_t fleet)
 {
@@ -167,7 +174,8 @@
 {
     if (!budget_.take(kind_, clock_()))
     {
-        return platform_errc::rate_limited;
+        return budget_.is_out() ? platform_errc::unavailable
+                                : platform_errc::rate_limited;
     }
     Result result = make();
     const bool is_reachable =
--- a/src/platform_budget.hpp
+++ b/src/platform_budget.hpp
@@ -89,6 +89,10 @@
     void
     set_fleet(std::size_t fleet);
 
+    /// Whether the last calls found the platform unreachable.
+    bool
+    is_out();
+
 private:
     std::mutex mutex_;
     platform_budget budget_;
@@ -96,7 +100,8 @@
 };
 
 /// Platform whose calls of one kind keep to the budget. A call without a token
-/// gives `rate_limited` and is never sent.
+/// gives `rate_limited`, or `unavailable`
+/// during an outage, and is never sent.
 class budgeted_platform : public platform_api
 {
 public:
--- a/src/platform_controller.cpp
+++ b/src/platform_controller.cpp
@@ -57,9 +57,16 @@
 }
 
 void
-platform_controller::note_result(bool reachable)
+platform_controller::note_result(platform_errc error)
 {
     metrics_.add(counter::platform_calls);
+    // A call that this VM's own budget held back says nothing.
+    if (error == platform_errc::rate_limited)
+    {
+        return;
+    }
+    const bool reachable =
+        error == platform_errc::ok || error == platform_errc::not_found;
     if (!reachable)
     {
         metrics_.add(counter::platform_failures);
@@ -87,9 +94,7 @@
     if (seen == 0)
     {
         const auto value = tables_api_.get(std::string(table_key));
-        const bool reachable =
-            value || value.error() == platform_errc::not_found;
-        note_result(reachable);
+        note_result(value ? platform_errc::ok : value.error());
         if (value)
         {
             seen = value.value().version;
@@ -99,7 +104,7 @@
     }
     const auto value = tables_api_.watch(
         std::string(table_key), seen, config::table_watch_timeout);
-    note_result(static_cast<bool>(value));
+    note_result(value ? platform_errc::ok : value.error());
     if (value && value.value())
     {
         seen = value.value()->version;
@@ -141,7 +146,7 @@
     for (;;)
     {
         const auto list = list_api_.vms();
-        note_result(static_cast<bool>(list));
+        note_result(list ? platform_errc::ok : list.error());
         duration wait = config::vm_list_period;
         if (list)
         {
--- a/src/platform_controller.hpp
+++ b/src/platform_controller.hpp
@@ -43,7 +43,7 @@
     bool
     read_table(std::uint64_t& seen);
     void
-    note_result(bool reachable);
+    note_result(platform_errc error);
     /// False when the controller stops.
     bool
     pause(duration time);
--- a/src/platform_duties.cpp
+++ b/src/platform_duties.cpp
@@ -73,7 +73,12 @@
         const monotonic_time now = monotonic_clock::now();
         maintain_lease(lease_, platforms_.lease, monotonic_clock::now);
         const bool held = holds(lease_, monotonic_clock::now());
-        records_.retry_pending({now, unix_ms()});
+        const std::size_t resolved = records_.retry_pending({now, unix_ms()});
+        if (resolved > 0)
+        {
+            log_event(event::idempotency_voided,
+                "records=" + std::to_string(resolved));
+        }
         share_voids();
         save_moves(now);
         if (held)
--- a/src/query_read.cpp
+++ b/src/query_read.cpp
@@ -89,7 +89,7 @@
     observe(const open_batch& sent, miss_reason error, run_state run,
         duration elapsed) const;
     void
-    retry(std::vector<shard_id> shards, std::vector<target_handle> tried,
+    retry(std::vector<shard_id> shards, const std::vector<target_handle>& tried,
         unsigned attempt, miss_reason error, run_state run);
     void
     send_due_hedges();
@@ -342,8 +342,9 @@
 }
 
 void
-read_run::retry(std::vector<shard_id> shards, std::vector<target_handle> tried,
-    unsigned attempt, miss_reason error, run_state run)
+read_run::retry(std::vector<shard_id> shards,
+    const std::vector<target_handle>& tried, unsigned attempt,
+    miss_reason error, run_state run)
 {
     shards.erase(std::remove_if(shards.begin(), shards.end(),
                      [this](shard_id s) { return is_expected(builder_, s); }),
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -78,9 +78,9 @@
     return [member, low, high](
                settings& s, const std::string& value) -> std::string
     {
-        const std::string allowed = "must be a whole number from " +
-                                    std::to_string(low) + " to " +
-                                    std::to_string(high);
+        std::string allowed = "must be a whole number from " +
+                              std::to_string(low) + " to " +
+                              std::to_string(high);
         if (value.empty() || value.size() > 10 ||
             value.find_first_not_of("0123456789") != std::string::npos)
         {
@@ -262,7 +262,9 @@
     {
         const std::string section(known.section);
         const std::string key(known.key);
-        if (known.required && state.seen.count(section + "/" + key) == 0)
+        std::string name = section;
+        name.append("/").append(key);
+        if (known.required && state.seen.count(name) == 0)
         {
             state.found->push_back(
                 {place_of(state, section, key), "is required"});
--- a/tests/fuzz/oracle.cpp
+++ b/tests/fuzz/oracle.cpp
@@ -47,8 +47,8 @@
 }
 
 void
-oracle::vm_ended(const std::string& vm, bool graceful,
-    std::size_t open_queries, monotonic_time now)
+oracle::vm_ended(const std::string& vm, bool graceful, std::size_t open_queries,
+    monotonic_time now)
 {
     if (graceful)
     {
@@ -223,9 +223,9 @@
             {
                 f.limit = std::min(f.limit, known->second.second);
             }
-            f.cold_limit += targets_[send.target]
-                                .successes[known->second.first] /
-                            successes_for_slot;
+            f.cold_limit +=
+                targets_[send.target].successes[known->second.first] /
+                successes_for_slot;
         }
     }
     flights_[send.id] = f;
@@ -315,7 +315,8 @@
         }
         out = t->second.at;
     }
-    if (drained != monotonic_time::max() && late(std::max(drained, platform_since_)))
+    if (drained != monotonic_time::max() &&
+        late(std::max(drained, platform_since_)))
     {
         report(invariant::leaving_target, now,
             f.send.vm + " sent to " + f.send.target +
@@ -343,8 +344,8 @@
                              std::to_string(running) + " on " + f.send.target;
     if (running > f.limit)
     {
-        report(invariant::limit, now,
-            text + ", limit " + std::to_string(f.limit));
+        report(
+            invariant::limit, now, text + ", limit " + std::to_string(f.limit));
     }
     else if (running > f.cold_limit)
     {
@@ -382,8 +383,7 @@
 }
 
 void
-oracle::told_once(
-    const std::string& attempt, run_state run, monotonic_time now)
+oracle::told_once(const std::string& attempt, run_state run, monotonic_time now)
 {
     if (run != run_state::not_run)
     {
@@ -437,8 +437,8 @@
             continue;
         }
         rows.erase(row);
-        if (executed_.count(
-                shard_key(answer.query, answer.snapshot, shard)) == 0)
+        if (executed_.count(shard_key(answer.query, answer.snapshot, shard)) ==
+            0)
         {
             report(invariant::true_coverage, now,
                 answer.query + " has a row that no target computed");
--- a/tests/fuzz/oracle.hpp
+++ b/tests/fuzz/oracle.hpp
@@ -118,8 +118,7 @@
     void
     target_started(const std::string& target, const std::string& instance);
     void
-    target_leaving(
-        const std::string& target, bool leaving, monotonic_time now);
+    target_leaving(const std::string& target, bool leaving, monotonic_time now);
     /// A reply or a report reached the part of the VM that sends.
     void
     heard(const std::string& vm, const std::string& target,
@@ -143,8 +142,8 @@
     bad_reply(const std::string& vm, monotonic_time now);
     /// A query chose the version.
     void
-    chosen(const std::string& vm, const std::string& version,
-        monotonic_time now);
+    chosen(
+        const std::string& vm, const std::string& version, monotonic_time now);
 
     // Callers.
     void
--- a/tests/fuzz/sequences.cpp
+++ b/tests/fuzz/sequences.cpp
@@ -14,9 +14,8 @@
     using namespace rc;
     const auto kinds = static_cast<int>(command_kind::count);
     return gen::build<command>(
-        gen::set(&command::kind,
-            gen::map(gen::inRange(0, kinds),
-                [](int k) { return static_cast<command_kind>(k); })),
+        gen::set(&command::kind, gen::map(gen::inRange(0, kinds), [](int k)
+                                     { return static_cast<command_kind>(k); })),
         gen::set(&command::subject, gen::inRange(0U, 12U)),
         gen::set(&command::amount, gen::inRange(0U, 40U)),
         gen::set(&command::wait_ms,
--- a/tests/fuzz/test_fuzz.cpp
+++ b/tests/fuzz/test_fuzz.cpp
@@ -34,8 +34,7 @@
             const auto world_seed =
                 *rc::gen::noShrink(rc::gen::inRange(0U, 1'000'000U));
             const auto commands = *sequences();
-            const auto found =
-                run_world(world_seed, breakage::none, commands);
+            const auto found = run_world(world_seed, breakage::none, commands);
             if (!found.empty())
             {
                 RC_FAIL("world seed " + std::to_string(world_seed) + ": " +
--- a/tests/fuzz/world.cpp
+++ b/tests/fuzz/world.cpp
@@ -104,8 +104,7 @@
         {
             if (vm->gone)
             {
-                judge.vm_ended(
-                    vm->self.id, true,
+                judge.vm_ended(vm->self.id, true,
                     vm->queries.size() + vm->once.size(), now_);
                 vms_.erase(vm->self.id);
             }
@@ -251,8 +250,7 @@
     {
         refuse(vm, refuse_all(state, miss_reason::draining));
     }
-    const bool idle = vm.jobs.empty() && vm.queries.empty() &&
-                      vm.once.empty();
+    const bool idle = vm.jobs.empty() && vm.queries.empty() && vm.once.empty();
     if (idle || fault_ == breakage::stop_without_wait)
     {
         send(vm, leave_members(vm.members, now_));
@@ -342,8 +340,7 @@
     {
         if (m.granted)
         {
-            transmit(
-                vm, m.to.id, [this](fuzz_vm& at) { at.last_ack = now_; });
+            transmit(vm, m.to.id, [this](fuzz_vm& at) { at.last_ack = now_; });
         }
         deliver(m.to, m, &ownership_state::on_view_ack);
     }
@@ -372,8 +369,7 @@
     vm.topology = build_catalog(value, vm.names);
     vm.reports.resize(vm.topology->targets.size());
     vm.routes = build_routing_index(*vm.topology, vm.reports);
-    update_moves(vm.moves, *vm.topology,
-        {now_, call_now().unix_ms});
+    update_moves(vm.moves, *vm.topology, {now_, call_now().unix_ms});
     for (const catalog_target& row : vm.topology->targets)
     {
         if (row.self.is_valid())
@@ -423,11 +419,11 @@
                 report.target = name;
                 report.instance = target.instance();
                 report.publisher = owner.self.id;
-                report.sequence = static_cast<std::uint64_t>(
-                    now_.time_since_epoch() / 1ms);
+                report.sequence =
+                    static_cast<std::uint64_t>(now_.time_since_epoch() / 1ms);
                 report.reachable = true;
-                report.draining = target.draining &&
-                                  fault_ != breakage::report_ignored;
+                report.draining =
+                    target.draining && fault_ != breakage::report_ignored;
                 report.slots_limit = target.reported_limit;
                 report.snapshots = target.snapshots;
                 take_report(owner, report, true);
@@ -457,8 +453,8 @@
     }
     if (own)
     {
-        judge.heard(vm.self.id, report.target, report.instance,
-            report.slots_limit);
+        judge.heard(
+            vm.self.id, report.target, report.instance, report.slots_limit);
         refuse(vm, on_status(state, seen, now_, vm.random));
         taken.proven_limit = proven_limit(state);
         for (const known_vm& peer : known_vms(vm.members))
@@ -466,7 +462,8 @@
             if (peer.identity.id != vm.self.id &&
                 peer.presence == vm_presence::live)
             {
-                transmit(vm, peer.identity.id, [this, taken](fuzz_vm& to)
+                transmit(vm, peer.identity.id,
+                    [this, taken](fuzz_vm& to)
                     { take_report(to, taken, false); });
             }
         }
@@ -477,8 +474,8 @@
     }
     else if (lease_end(vm, report.target) == monotonic_time::min())
     {
-        judge.heard(vm.self.id, report.target, report.instance,
-            report.slots_limit);
+        judge.heard(
+            vm.self.id, report.target, report.instance, report.slots_limit);
         inherit(state, seen);
     }
     const bool same = same_holdings(vm.reports[index], taken);
--- a/tests/fuzz/world.hpp
+++ b/tests/fuzz/world.hpp
@@ -36,26 +36,26 @@
 enum class breakage
 {
     none,
-    lease_from_ack,       ///< the lease counts from the ack's arrival
-    no_lease_check,       ///< an owner sends without a lease
-    no_foreign_count,     ///< work left by the former owner is not counted
-    deadline_past_lease,  ///< targets work on after the owner's lease
-    restart_unnoticed,    ///< the instance id is not passed on
-    reported_limit_lost,  ///< the target's own limit is not passed on
-    unchecked_snapshot,   ///< a reply's snapshot is not compared
-    unchecked_id,         ///< a reply's request id is not compared
-    counts_every_reply,   ///< coverage counts shards that were only asked
-    zone_out_ignored,     ///< the catalog's `out` is dropped
-    drain_ignored,        ///< the catalog's `draining` is dropped
-    report_ignored,       ///< a target's word that it is leaving is dropped
-    lost_is_not_run,      ///< a lost reply is called not_run
-    stop_without_wait,    ///< a VM stops while it has work at targets
-    any_version_adopted,  ///< a table is adopted whatever its version
-    offers_dropped,       ///< tables are not passed to other VMs
-    unconditional_claim,  ///< a claim replaces the record of another
-    lost_frees_key,       ///< a key is freed when the reply was lost
-    no_evidence,          ///< replies of versions are not observed
-    share_ignored,        ///< queries use any version
+    lease_from_ack,      ///< the lease counts from the ack's arrival
+    no_lease_check,      ///< an owner sends without a lease
+    no_foreign_count,    ///< work left by the former owner is not counted
+    deadline_past_lease, ///< targets work on after the owner's lease
+    restart_unnoticed,   ///< the instance id is not passed on
+    reported_limit_lost, ///< the target's own limit is not passed on
+    unchecked_snapshot,  ///< a reply's snapshot is not compared
+    unchecked_id,        ///< a reply's request id is not compared
+    counts_every_reply,  ///< coverage counts shards that were only asked
+    zone_out_ignored,    ///< the catalog's `out` is dropped
+    drain_ignored,       ///< the catalog's `draining` is dropped
+    report_ignored,      ///< a target's word that it is leaving is dropped
+    lost_is_not_run,     ///< a lost reply is called not_run
+    stop_without_wait,   ///< a VM stops while it has work at targets
+    any_version_adopted, ///< a table is adopted whatever its version
+    offers_dropped,      ///< tables are not passed to other VMs
+    unconditional_claim, ///< a claim replaces the record of another
+    lost_frees_key,      ///< a key is freed when the reply was lost
+    no_evidence,         ///< replies of versions are not observed
+    share_ignored,       ///< queries use any version
     count
 };
 
@@ -98,9 +98,10 @@
 inline constexpr name_table<command_kind> command_kind_names{"queries",
     "lose_replies", "late_replies", "cross_replies", "truncate_replies",
     "stale_replies", "shed", "drain", "turn_cold", "restart_target",
-    "report_limit", "repartition", "bad_version", "edit_limit", "edit_drain", "edit_zone",
-    "racing_edits", "outage", "lose_platform_reply", "once", "once_twice",
-    "lose_claim", "delay_claim", "cut_watchers", "pause_vm", "kill_vm", "stop_vm", "start_vm", "cut_zone", "bad_links", "wait"};
+    "report_limit", "repartition", "bad_version", "edit_limit", "edit_drain",
+    "edit_zone", "racing_edits", "outage", "lose_platform_reply", "once",
+    "once_twice", "lose_claim", "delay_claim", "cut_watchers", "pause_vm",
+    "kill_vm", "stop_vm", "start_vm", "cut_zone", "bad_links", "wait"};
 
 struct command
 {
@@ -194,8 +195,8 @@
     platform_result<std::vector<object>>
     list(const std::string& prefix) override;
     platform_result<std::optional<object>>
-    watch(const std::string& key, std::uint64_t after,
-        duration timeout) override;
+    watch(
+        const std::string& key, std::uint64_t after, duration timeout) override;
     platform_result<std::vector<vm_list_entry>>
     vms() override;
 
@@ -386,8 +387,8 @@
     void
     arrive(const wire_request& wire);
     void
-    respond(const wire_request& wire, int status, std::string body,
-        duration delay);
+    respond(
+        const wire_request& wire, int status, std::string body, duration delay);
     void
     respond_rows(const wire_request& wire, fake_target& target);
     void
--- a/tests/fuzz/world_entry.cpp
+++ b/tests/fuzz/world_entry.cpp
@@ -13,8 +13,7 @@
 } // namespace
 
 target_views
-world::views_of(
-    const fuzz_vm& vm, const version_choice& versions) const
+world::views_of(const fuzz_vm& vm, const version_choice& versions) const
 {
     target_views views(vm.topology->targets.size());
     const auto known = known_vms(vm.members);
@@ -32,8 +31,7 @@
         facts.draining = row.draining || report.draining;
         facts.zone_out = row.zone_out;
         facts.owner_known = std::any_of(known.begin(), known.end(),
-            [&](const known_vm& other)
-            {
+            [&](const known_vm& other) {
                 return other.identity.zone == zone &&
                        other.presence == vm_presence::live;
             });
@@ -99,8 +97,7 @@
 {
     const move_clock clock{now_, call_now().unix_ms};
     (void)evaluate_moves(vm.moves, {{"m1", {1.0, 1.0, {}}}}, clock);
-    const bool changed =
-        vm.moves.withdrawals.size() != vm.withdrawals_sent;
+    const bool changed = vm.moves.withdrawals.size() != vm.withdrawals_sent;
     vm.withdrawals_sent = vm.moves.withdrawals.size();
     if (now_ < vm.next_evidence && !changed)
     {
@@ -159,8 +156,7 @@
             vm.topology->versions[query.versions.preferred.index].name, now_);
     }
     query.deadline = now_ + between(300ms, 900ms);
-    query.builder =
-        start_answer(snapshot->sequence, all_shards(*snapshot));
+    query.builder = start_answer(snapshot->sequence, all_shards(*snapshot));
     earn(vm.extra, snapshot->shard_count, now_);
     earn(vm.retries, snapshot->shard_count);
     plan_request wanted;
@@ -223,8 +219,7 @@
 void
 world::dispatch(fuzz_vm& vm, const owned_job& job)
 {
-    const catalog_target& row =
-        vm.topology->targets[job.request.target.index];
+    const catalog_target& row = vm.topology->targets[job.request.target.index];
     const std::string& zone = vm.topology->zones[row.zone.index].name;
     std::vector<vm_ref> members;
     if (zone == vm.self.zone)
@@ -329,8 +324,8 @@
     wanted.shards = shards;
     wanted.tried = failed.tried;
     submit(vm, query,
-        plan_query(
-            *vm.routes, *snapshot, wanted, views_of(vm, query.versions), now_, vm.random),
+        plan_query(*vm.routes, *snapshot, wanted, views_of(vm, query.versions),
+            now_, vm.random),
         failed.tried, failed.attempt + 1, false);
 }
 
@@ -364,8 +359,8 @@
         wanted.shards = shards;
         wanted.tried = batch.tried;
         submit(vm, query,
-            plan_query(
-                *vm.routes, *snapshot, wanted, views_of(vm, query.versions), now_, vm.random),
+            plan_query(*vm.routes, *snapshot, wanted,
+                views_of(vm, query.versions), now_, vm.random),
             batch.tried, batch.attempt, true);
     }
 }
--- a/tests/fuzz/world_once.cpp
+++ b/tests/fuzz/world_once.cpp
@@ -29,8 +29,8 @@
 }
 
 platform_result<std::uint64_t>
-vm_platform::put(const std::string& key, const nlohmann::json& value,
-    std::uint64_t expected)
+vm_platform::put(
+    const std::string& key, const nlohmann::json& value, std::uint64_t expected)
 {
     if (!reachable)
     {
@@ -120,8 +120,8 @@
     const catalog_service* service = find_service(*vm.topology, "desk");
     const version_choice versions = versions_of(vm, call.attempt);
     const target_views views = views_of(vm, versions);
-    const snapshot_index* snapshot = choose_snapshot(
-        *vm.routes, service->self, versions.preferred, views);
+    const snapshot_index* snapshot =
+        choose_snapshot(*vm.routes, service->self, versions.preferred, views);
     query_plan plan;
     if (snapshot != nullptr && call.tried.size() < max_targets_tried)
     {
@@ -129,8 +129,8 @@
         wanted.version = versions.preferred;
         wanted.shards = {0};
         wanted.tried = call.tried;
-        plan = plan_query(
-            *vm.routes, *snapshot, wanted, views, now_, vm.random);
+        plan =
+            plan_query(*vm.routes, *snapshot, wanted, views, now_, vm.random);
     }
     if (plan.batches.empty() || now_ >= call.deadline)
     {
@@ -188,8 +188,8 @@
     {
         run = run_state::not_run;
     }
-    vm.records.complete(call.claimed, run, {{"attempt", call.attempt}},
-        call_now());
+    vm.records.complete(
+        call.claimed, run, {{"attempt", call.attempt}}, call_now());
 }
 
 void
--- a/tests/fuzz/world_owner.cpp
+++ b/tests/fuzz/world_owner.cpp
@@ -31,7 +31,8 @@
     {
         return no_lease;
     }
-    if (fault_ == breakage::lease_from_ack || fault_ == breakage::no_lease_check)
+    if (fault_ == breakage::lease_from_ack ||
+        fault_ == breakage::no_lease_check)
     {
         const auto& members = vm.ownership.members();
         const auto owner = owner_of(target, members);
@@ -178,8 +179,8 @@
 }
 
 void
-world::on_response(fuzz_vm& vm, const wire_request& wire, int status,
-    const std::string& body)
+world::on_response(
+    fuzz_vm& vm, const wire_request& wire, int status, const std::string& body)
 {
     if (vm.jobs.count(wire.key) == 0)
     {
@@ -205,13 +206,11 @@
 }
 
 void
-world::finish_job(
-    fuzz_vm& vm, std::uint64_t key, sub_reply reply, bool sent)
+world::finish_job(fuzz_vm& vm, std::uint64_t key, sub_reply reply, bool sent)
 {
     const owned_job job = vm.jobs.at(key);
     vm.jobs.erase(key);
-    const catalog_target row =
-        vm.topology->targets[job.request.target.index];
+    const catalog_target row = vm.topology->targets[job.request.target.index];
     target_state& state = limits_of(vm, row);
     reply_sample sample{reply.error, reply.instance, now_ - job.sent, sent};
     if (!reply.instance.empty())
--- a/tests/fuzz/world_targets.cpp
+++ b/tests/fuzz/world_targets.cpp
@@ -62,11 +62,10 @@
         {"routes", {{{"service", "desk"}, {"name", "find"}},
                        {{"service", "desk"}, {"name", "enter"},
                            {"idempotent", false}}}},
-        {"searchers",
-            {{{"service", "desk"}, {"name", "fast"}, {"slots", table_slots},
-                 {"cold_limit", table_slots}},
-                {{"service", "desk"}, {"name", "slow"}, {"slots", table_slots},
-                    {"cold_limit", 1}}}},
+        {"searchers", {{{"service", "desk"}, {"name", "fast"},
+                           {"slots", table_slots}, {"cold_limit", table_slots}},
+                          {{"service", "desk"}, {"name", "slow"},
+                              {"slots", table_slots}, {"cold_limit", 1}}}},
         {"versions", {{{"service", "desk"}, {"name", "v1"}},
                          {{"service", "desk"}, {"name", "v2"}}}},
         {"targets", rows},
@@ -119,8 +118,8 @@
     fake_target& target = target_of(wire.request.target_name);
     const sub_request& request = wire.request;
     const auto held = std::find_if(target.snapshots.begin(),
-        target.snapshots.end(), [&](const held_snapshot& s)
-        { return s.sequence == request.snapshot; });
+        target.snapshots.end(),
+        [&](const held_snapshot& s) { return s.sequence == request.snapshot; });
     const bool holds_all =
         held != target.snapshots.end() &&
         std::all_of(request.shards.begin(), request.shards.end(),
@@ -174,8 +173,8 @@
 }
 
 void
-world::respond(const wire_request& wire, int status, std::string body,
-    duration delay)
+world::respond(
+    const wire_request& wire, int status, std::string body, duration delay)
 {
     at_vm(wire.vm, wire.incarnation, delay + between(200us, 2ms),
         [this, wire, status, body = std::move(body)](fuzz_vm& owner)
@@ -204,8 +203,8 @@
     }
     std::string body = json{{"request_id", wire.id},
         {"instance", target.instance()}, {"version", wire.request.version},
-        {"snapshot", snapshot}, {"shards", shards}}
-                           .dump();
+        {"snapshot", snapshot},
+        {"shards", shards}}.dump();
     if (truncated && chance(0.5))
     {
         body.resize(body.size() / 2);
@@ -346,8 +345,8 @@
             [this, i, sequence, shard_count]
             {
                 auto& held = targets_[i].snapshots;
-                held.push_back({sequence, shard_count,
-                    {held_shards(i, shard_count)}});
+                held.push_back(
+                    {sequence, shard_count, {held_shards(i, shard_count)}});
                 if (held.size() > 2)
                 {
                     held.erase(held.begin());
--- a/tools/bramleymux/admin_client.hpp
+++ b/tools/bramleymux/admin_client.hpp
@@ -22,6 +22,7 @@
     int status = 0; ///< 0 when there was no answer
     nlohmann::json body;
     std::string error; ///< why there was no answer
+    bool sent = false; ///< whether the daemon may have got the request
 };
 
 admin_reply
--- a/tools/bramleymux/commands.cpp
+++ b/tools/bramleymux/commands.cpp
@@ -106,9 +106,15 @@
 {
     for (const json& c : result.value("changes", json::array()))
     {
-        out << c["row"].get<std::string>() << " "
-            << c["field"].get<std::string>() << ": " << c["before"].dump()
-            << " -> " << c["after"].dump() << "\n";
+        const std::string field = c["field"];
+        out << c["row"].get<std::string>() << (field.empty() ? "" : " ")
+            << field << ": " << c["before"].dump() << " -> "
+            << c["after"].dump() << "\n";
+    }
+    if (result.contains("findings") && result["findings"].empty())
+    {
+        out << "the edit has no findings; nothing was written\n";
+        return;
     }
     print_edit(out, result);
 }
@@ -203,6 +209,10 @@
     admin_reply reply;
     if (!call(options, "POST", path, edit.dump(), reply))
     {
+        if (!reply.sent || options.dry_run)
+        {
+            return exit_code::no_answer;
+        }
         std::cerr << "bramleymux: ask for the outcome with: "
                      "bramleymux outcome "
                   << id << "\n";
--- a/tools/bramleymux/print.cpp
+++ b/tools/bramleymux/print.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <ctime>
 #include <iomanip>
 
@@ -54,8 +55,7 @@
 std::string
 percent(const json& share)
 {
-    return std::to_string(static_cast<int>(share.get<double>() * 100.0 + 0.5)) +
-           "%";
+    return std::to_string(std::lround(share.get<double>() * 100.0)) + "%";
 }
 
 } // namespace
@@ -108,6 +108,7 @@
     for (const json& row : rows)
     {
         std::vector<std::string> cells;
+        cells.reserve(fields.size());
         for (const std::string& field : fields)
         {
             cells.push_back(
--- a/tools/bramleymux_main.cpp
+++ b/tools/bramleymux_main.cpp
@@ -251,6 +251,7 @@
     CLI::App app{"Operators' command line of bramleymux"};
     app.footer(footer);
     app.require_subcommand(1);
+    app.fallthrough();
     command_options options;
     arguments args;
     command selected;
@@ -298,6 +299,13 @@
             };
         });
 
-    CLI11_PARSE(app, argc, argv);
+    try
+    {
+        app.parse(argc, argv);
+    }
+    catch (const CLI::ParseError& e)
+    {
+        return app.exit(e) == 0 ? 0 : static_cast<int>(exit_code::usage);
+    }
     return static_cast<int>(selected());
 }
--- a/tools/bramleymuxd_main.cpp
+++ b/tools/bramleymuxd_main.cpp
@@ -97,6 +97,8 @@
     if (!found.empty())
     {
         print(found);
+        log_event(event::settings_invalid,
+            "findings=" + std::to_string(found.size()));
         return exit_invalid_settings;
     }
     return check ? 0 : serve(values);
