Compare whole sessions with golden files

An unintended change of an answer, a refusal or a log event was not seen by any test. Sessions with the caller server and two version moves are now recorded as text and compared; make golden writes the files anew.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SEED ?= 1
 RUNS ?= 200
 
-.PHONY: help deps build test demo bench fuzz format check-format tidy \
+.PHONY: help deps build test golden demo bench fuzz format check-format tidy \
         test-asan test-tsan clean
 
 help:
@@ -23,6 +23,12 @@
 test: build
 	@scripts/run_tests.sh $(BUILD)
 
+## golden        write tests/golden/ anew; check the difference before a commit
+golden: deps
+	@cmake -S . -B $(BUILD) -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo >/dev/null
+	@cmake --build $(BUILD) -j $(JOBS) --target bramleymux_tests
+	@BRAMLEYMUX_UPDATE_GOLDEN=1 $(BUILD)/bin/bramleymux_tests "[golden]"
+
 ## bench         load a local fleet of each policy, compare, report (QUICK=1)
 bench: build
 	@scripts/bench.sh $(BUILD)
--- a/tests/version_move_model.hpp
+++ b/tests/version_move_model.hpp
@@ -59,6 +59,8 @@
     std::string cause;
     std::vector<double> step_times; ///< first VM
     std::size_t message_bytes = 0;  ///< largest
+    /// First VM: each event, and its share after it.
+    std::vector<std::string> events;
 };
 
 class model
@@ -290,6 +292,10 @@
             {
                 out_.at_risk = seconds();
             }
+            if (at == 0)
+            {
+                out_.events.push_back(event_text(e));
+            }
             if (e.kind == move_event_kind::step && at == 0)
             {
                 out_.step_times.push_back(seconds());
@@ -297,6 +303,19 @@
         }
     }
 
+    std::string
+    event_text(const move_event& e) const
+    {
+        constexpr name_table<move_event_kind> names{
+            "step", "withdrawn", "at_risk", "done"};
+        const auto ms =
+            std::chrono::duration_cast<std::chrono::milliseconds>(time_);
+        return "at_ms=" + std::to_string(ms.count()) + " " +
+               std::string(names[static_cast<std::size_t>(e.kind)]) + " " +
+               e.move + " " + e.detail +
+               " share=" + std::to_string(vms_[0].moves.monitors[0].share);
+    }
+
     void
     publish(std::size_t from)
     {
