Test that malformed input leaves the HTTP server serving

Random bytes, half requests, wrong lengths, bodies over the limit, long headers and idle connections on a real server.

--- /dev/null
+++ b/tests/test_http_server.cpp
@@ -0,0 +1,276 @@
+#include "http_server.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+using namespace bramleymux;
+
+namespace
+{
+
+constexpr std::size_t server_threads = 8;
+constexpr std::size_t body_limit = 1024;
+constexpr int give_up_seconds = 60;
+
+std::uint16_t
+port_of(int socket)
+{
+    sockaddr_in name{};
+    socklen_t size = sizeof(name);
+    getsockname(socket, reinterpret_cast<sockaddr*>(&name), &size);
+    return ntohs(name.sin_port);
+}
+
+sockaddr_in
+loopback(std::uint16_t port)
+{
+    sockaddr_in name{};
+    name.sin_family = AF_INET;
+    name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    name.sin_port = htons(port);
+    return name;
+}
+
+/// A port that was free a moment ago.
+std::uint16_t
+free_port()
+{
+    const int probe = socket(AF_INET, SOCK_STREAM, 0);
+    const sockaddr_in name = loopback(0);
+    REQUIRE(bind(probe, reinterpret_cast<const sockaddr*>(&name),
+                sizeof(name)) == 0);
+    const std::uint16_t port = port_of(probe);
+    close(probe);
+    return port;
+}
+
+class connection
+{
+public:
+    explicit connection(std::uint16_t port)
+        : socket_(socket(AF_INET, SOCK_STREAM, 0))
+    {
+        const timeval limit{give_up_seconds, 0};
+        setsockopt(socket_, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+        setsockopt(socket_, SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof(limit));
+        const sockaddr_in name = loopback(port);
+        REQUIRE(connect(socket_, reinterpret_cast<const sockaddr*>(&name),
+                    sizeof(name)) == 0);
+    }
+
+    ~connection()
+    {
+        close(socket_);
+    }
+
+    connection(const connection&) = delete;
+    connection&
+    operator=(const connection&) = delete;
+
+    /// Stops early when the server closes.
+    void
+    write(const std::string& text) const
+    {
+        std::size_t done = 0;
+        while (done < text.size())
+        {
+            const ssize_t n = send(
+                socket_, text.data() + done, text.size() - done, MSG_NOSIGNAL);
+            if (n <= 0)
+            {
+                return;
+            }
+            done += static_cast<std::size_t>(n);
+        }
+    }
+
+    void
+    end_writing() const
+    {
+        shutdown(socket_, SHUT_WR);
+    }
+
+    /// All that the server sends until it closes.
+    std::string
+    read_all() const
+    {
+        std::string text;
+        char buffer[4096];
+        for (;;)
+        {
+            const ssize_t n = recv(socket_, buffer, sizeof(buffer), 0);
+            if (n <= 0)
+            {
+                return text;
+            }
+            text.append(buffer, static_cast<std::size_t>(n));
+        }
+    }
+
+private:
+    int socket_;
+};
+
+struct running_server
+{
+    running_server()
+        : port(free_port()), server({"127.0.0.1:" + std::to_string(port),
+                                        server_threads, body_limit, "", ""},
+                                 [](const server_request& request)
+                                 {
+                                     server_response response;
+                                     response.body = "echo " + request.body;
+                                     response.close_connection = true;
+                                     return response;
+                                 })
+    {
+    }
+
+    std::uint16_t port;
+    http_server server;
+};
+
+std::string
+post_text(const std::string& length, const std::string& body,
+    const std::string& headers = "")
+{
+    return "POST /x HTTP/1.1\r\nHost: a\r\n" + headers +
+           "Content-Length: " + length + "\r\n\r\n" + body;
+}
+
+std::string
+reply_to(std::uint16_t port, const std::string& text)
+{
+    const connection c(port);
+    c.write(text);
+    c.end_writing();
+    return c.read_all();
+}
+
+void
+check_serving(std::uint16_t port)
+{
+    const connection c(port);
+    c.write(post_text("4", "good"));
+    const std::string answer = c.read_all();
+    CHECK(answer.rfind("HTTP/1.1 200 ", 0) == 0);
+    CHECK(answer.find("echo good") != std::string::npos);
+}
+
+} // namespace
+
+// Guards against bytes that are no HTTP ending the process or a thread of the
+// server: more inputs than threads, so that one lost thread each would show.
+TEST_CASE("random bytes leave the server serving", "[http_server]")
+{
+    const running_server s;
+    std::mt19937 random(1);
+    for (int i = 0; i < 64; ++i)
+    {
+        std::string noise(1 + random() % 4096, ' ');
+        for (char& c : noise)
+        {
+            c = static_cast<char>(random() % 256);
+        }
+        reply_to(s.port, noise);
+        check_serving(s.port);
+    }
+}
+
+// Guards against a thread that waits for the rest of a request after its
+// caller has gone.
+TEST_CASE("half requests leave the server serving", "[http_server]")
+{
+    const running_server s;
+    const std::string whole = post_text("4", "good");
+    for (std::size_t size = 0; size < whole.size(); ++size)
+    {
+        const std::string answer = reply_to(s.port, whole.substr(0, size));
+        CHECK(answer.find(" 200 ") == std::string::npos);
+    }
+    check_serving(s.port);
+}
+
+// Guards against a body that is cut or taken from the wrong length reaching
+// the handler.
+TEST_CASE("a wrong Content-Length leaves the server serving", "[http_server]")
+{
+    const running_server s;
+    for (const char* length : {"5", "1024", "-1", "four", "0x4", "4 4",
+             "99999999999999999999999", "18446744073709551615"})
+    {
+        INFO("Content-Length " << length);
+        const std::string answer = reply_to(s.port, post_text(length, "good"));
+        CHECK(answer.find(" 200 ") == std::string::npos);
+        check_serving(s.port);
+    }
+}
+
+// Guards against unbounded memory for a body, and against a refusal that does
+// not say that the request was not run.
+TEST_CASE("a body over the limit is refused as not_run", "[http_server]")
+{
+    const running_server s;
+    const std::size_t size = body_limit + 1;
+    const connection c(s.port);
+    c.write(post_text(std::to_string(size), std::string(size, 'x')));
+    const std::string answer = c.read_all();
+    CHECK(answer.rfind("HTTP/1.1 413 ", 0) == 0);
+    CHECK(answer.find(R"("run":"not_run")") != std::string::npos);
+    check_serving(s.port);
+    const std::string large(4'000'000, 'x');
+    const std::string refused =
+        reply_to(s.port, post_text(std::to_string(large.size()), large));
+    CHECK(refused.find(" 200 ") == std::string::npos);
+    check_serving(s.port);
+    const std::string body(body_limit, 'x');
+    const connection at_limit(s.port);
+    at_limit.write(post_text(std::to_string(body_limit), body));
+    CHECK(at_limit.read_all().find("echo " + body) != std::string::npos);
+}
+
+// Guards against headers beyond the server's buffer ending a thread.
+TEST_CASE("very long headers leave the server serving", "[http_server]")
+{
+    const running_server s;
+    for (const std::size_t size : {20'000U, 200'000U, 2'000'000U})
+    {
+        const std::string answer =
+            reply_to(s.port, post_text("4", "good",
+                                 "X-Long: " + std::string(size, 'h') + "\r\n"));
+        CHECK(answer.find(" 200 ") == std::string::npos);
+        check_serving(s.port);
+    }
+    std::string many;
+    for (int i = 0; i < 1000; ++i)
+    {
+        many += "H" + std::to_string(i) + ": v\r\n";
+    }
+    reply_to(s.port, post_text("4", "good", many));
+    check_serving(s.port);
+}
+
+// Guards against idle connections that keep their threads after they closed.
+TEST_CASE("idle connections leave the server serving", "[http_server]")
+{
+    const running_server s;
+    for (int round = 0; round < 8; ++round)
+    {
+        std::vector<std::unique_ptr<connection>> idle;
+        for (std::size_t i = 0; i + 1 < server_threads; ++i)
+        {
+            idle.push_back(std::make_unique<connection>(s.port));
+        }
+        check_serving(s.port);
+    }
+    check_serving(s.port);
+}
