Measure capacity at 64 VMs

The platform stand-in's 64 connection threads were used up at 32 VMs and more, so the script starts it with 1,024.

--- a/scripts/measure_capacity.sh
+++ b/scripts/measure_capacity.sh
@@ -21,6 +21,8 @@
 platform=127.2.100.1:9000
 control=127.2.100.2:7300
 targets=${TARGETS:-8}
+# A kept connection holds a thread of the stand-in, and a VM keeps up to 8.
+platform_threads=1024
 max_vms=90 # with the stand-ins below 100 processes
 pids=()
 vms=()
@@ -180,7 +182,8 @@
     write_targets
     write_table "$run/table.json" "[]"
     start_program platform "$build/bin/platform_standin" \
-        --listen "$platform" --config "$run/platform.json"
+        --listen "$platform" --config "$run/platform.json" \
+        --threads "$platform_threads"
     start_program targets "$build/bin/target_standin" \
         --config "$run/targets.json" --control "$control"
     wait_for platform curl -fsS "http://$platform/v1/vms"
