Poll a target before its first send and run repeated batches once

Cause: fuzzing found (world) that a target which begins to leave while its owner is dead gets work from the next owner, which has only the former owner's report. Read in the code: a repeated sub_batch message got a new local id and would have run twice. The HTTP server took Content-Length values with trailing characters, seen as '0x4' answered 200. run_tests.sh also ran the hidden measuring tests, which take over nine minutes.

--- a/scripts/run_tests.sh
+++ b/scripts/run_tests.sh
@@ -15,5 +15,5 @@
 # Fixed seeds, so that every run decides alike.
 export RC_PARAMS=${RC_PARAMS:-seed=20261204}
 export FUZZ_SEED=${FUZZ_SEED:-1} FUZZ_RUNS=${FUZZ_RUNS:-20}
-"$build/bin/bramleymux_tests" "*" "${excluded[@]}"
+"$build/bin/bramleymux_tests" "~[.]" "${excluded[@]}"
 "$build/bin/bramleymux_fuzz" "~[.]" "${excluded[@]}"
--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -10,6 +10,14 @@
 
 using nlohmann::json;
 
+namespace
+{
+
+// Above the sub-requests that one VM sends in the time a message can be late.
+constexpr std::size_t max_sender_history = 4096;
+
+} // namespace
+
 dispatcher::dispatcher(const published<owner_map>& owners,
     sub_request_sink& local, peer_transport& peers, metrics& counters,
     vm_identity self, target_lookup lookup, bool direct)
@@ -69,7 +77,7 @@
     // Remote batches first: their round trip is the longer one.
     for (auto& [owner, requests] : remote)
     {
-        forward(owners->vms[owner.index], std::move(requests), handler);
+        forward(owners->vms[owner.index], requests, handler);
     }
     if (!local.empty())
     {
@@ -79,8 +87,8 @@
 }
 
 void
-dispatcher::forward(const vm_identity& owner, std::vector<sub_request> batch,
-    const sub_reply_handler& handler)
+dispatcher::forward(const vm_identity& owner,
+    const std::vector<sub_request>& batch, const sub_reply_handler& handler)
 {
     const monotonic_time now = monotonic_clock::now();
     json items = json::array();
@@ -158,6 +166,28 @@
     }
 }
 
+/// Called with `received_mutex_` held.
+bool
+dispatcher::is_new(const peer_message& message, std::uint64_t remote_id)
+{
+    sender_history& history = histories_[message.from];
+    if (history.incarnation != message.from_incarnation)
+    {
+        history = {message.from_incarnation, {}, {}};
+    }
+    if (!history.ids.insert(remote_id).second)
+    {
+        return false;
+    }
+    history.order.push_back(remote_id);
+    if (history.order.size() > max_sender_history)
+    {
+        history.ids.erase(history.order.front());
+        history.order.pop_front();
+    }
+    return true;
+}
+
 void
 dispatcher::on_batch(const peer_message& message)
 {
@@ -183,9 +213,13 @@
         }
         request.target = lookup_(request.target_name);
         const std::uint64_t remote_id = request.id;
+        const std::lock_guard<std::mutex> lock(received_mutex_);
+        if (!is_new(message, remote_id))
+        {
+            continue;
+        }
         request.id = next_id();
         remote_ids[request.id] = remote_id;
-        const std::lock_guard<std::mutex> lock(received_mutex_);
         received_[{message.from, remote_id}] = request.id;
         batch.push_back(std::move(request));
     }
--- a/src/dispatcher.hpp
+++ b/src/dispatcher.hpp
@@ -7,10 +7,12 @@
 #include "sub_request.hpp"
 
 #include <atomic>
+#include <deque>
 #include <functional>
 #include <map>
 #include <mutex>
 #include <unordered_map>
+#include <unordered_set>
 
 /// Sends each sub-request to the VM that owns its target: to the local
 /// executor, or in one message for each owner over the peer links.
@@ -62,12 +64,23 @@
 
     using remote_key = std::pair<std::string, std::uint64_t>;
 
+    /// Sub-requests that a VM sent lately, so that a repeated message does not
+    /// run one twice.
+    struct sender_history
+    {
+        std::uint64_t incarnation = 0;
+        std::deque<std::uint64_t> order;
+        std::unordered_set<std::uint64_t> ids;
+    };
+
     void
-    forward(const vm_identity& owner, std::vector<sub_request> batch,
+    forward(const vm_identity& owner, const std::vector<sub_request>& batch,
         const sub_reply_handler& handler);
     void
     refuse(std::uint64_t id, miss_reason reason, run_state run,
         const sub_reply_handler& handler) const;
+    bool
+    is_new(const peer_message& message, std::uint64_t remote_id);
     void
     on_batch(const peer_message& message);
     void
@@ -88,7 +101,8 @@
     std::unordered_map<std::uint64_t, forwarded> forwarded_;
 
     std::mutex received_mutex_;
-    std::map<remote_key, std::uint64_t> received_; ///< remote to local ids
+    std::map<remote_key, std::uint64_t> received_;    ///< remote to local ids
+    std::map<std::string, sender_history> histories_; ///< by VM id
 };
 
 } // namespace bramleymux
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -33,6 +33,17 @@
     count
 };
 
+/// CivetWeb reads a number with trailing characters; a proxy in front may read
+/// the same header otherwise, so that a request could be smuggled past it.
+bool
+is_valid_length(const server_request& request)
+{
+    const auto found = request.headers.find("content-length");
+    return found == request.headers.end() ||
+           (!found->second.empty() && found->second.find_first_not_of(
+                                          "0123456789") == std::string::npos);
+}
+
 body_result
 read_body(mg_connection* conn, long long declared, std::size_t limit,
     std::string& out)
@@ -120,7 +131,7 @@
                       status_text(response.status) + "\r\n";
     for (const auto& [name, value] : response.headers)
     {
-        out += name + ": " + value + "\r\n";
+        out.append(name).append(": ").append(value).append("\r\n");
     }
     if (response.status != 204)
     {
@@ -174,8 +185,10 @@
     {
         const mg_request_info* info = mg_get_request_info(conn);
         server_request request = request_of(*info);
-        const body_result body =
-            read_body(conn, info->content_length, max_body_bytes, request.body);
+        const body_result body = is_valid_length(request)
+                                     ? read_body(conn, info->content_length,
+                                           max_body_bytes, request.body)
+                                     : body_result::incomplete;
         const server_response response =
             body == body_result::ok ? handler(request)
                                     : body_refusal(body, max_body_bytes);
--- a/src/target_limits.cpp
+++ b/src/target_limits.cpp
@@ -202,6 +202,7 @@
 on_status(target_state& state, const target_report& report, monotonic_time now,
     std::mt19937_64& random)
 {
+    state.is_polled = true;
     if (!report.reachable)
     {
         note_failure(state, now, random);
@@ -217,6 +218,7 @@
 void
 inherit(target_state& state, const target_report& report)
 {
+    state.is_polled = false;
     state.instance = report.instance;
     state.reported_limit = report.slots_limit;
     state.self_draining = report.draining;
@@ -266,7 +268,10 @@
         refused.push_back({it->key, miss_reason::deadline});
     }
     queue.erase(hopeless, queue.end());
-    if (queue.empty() || refusal_reason(state) != miss_reason::none ||
+    const bool unknown =
+        !state.is_polled && state.policy == limit_policy::adaptive;
+    if (queue.empty() || unknown ||
+        refusal_reason(state) != miss_reason::none ||
         state.running + foreign >= current_limit(state))
     {
         return std::nullopt;
--- a/src/target_limits.hpp
+++ b/src/target_limits.hpp
@@ -77,6 +77,9 @@
     std::string instance;
     bool self_draining = false;
     std::uint32_t reported_limit = 0; ///< 0 = none
+    /// False after another owner's report, until this VM has polled the target
+    /// itself: it may have begun to leave while it had no owner.
+    bool is_polled = true;
 
     // Cold start.
     std::uint32_t cold_start_limit = 0; ///< 0 = cold
--- a/tests/fuzz/oracle.cpp
+++ b/tests/fuzz/oracle.cpp
@@ -43,7 +43,7 @@
 void
 oracle::vm_started(const std::string& vm, monotonic_time now)
 {
-    vms_[vm] = {now, 0, {}, {}};
+    vms_[vm] = {now, 0, {}};
 }
 
 void
@@ -131,13 +131,6 @@
     targets_[target].leaving_since = now;
 }
 
-void
-oracle::took_over(
-    const std::string& vm, const std::string& target, monotonic_time now)
-{
-    vms_.at(vm).owner_since[target] = now;
-}
-
 void
 oracle::heard(const std::string& vm, const std::string& target,
     const std::string& instance, std::uint32_t reported_limit)
@@ -294,12 +287,7 @@
                std::max(since, vm->second.calm_since) + closed_bound;
     };
     const target_facts& target = targets_[f.send.target];
-    monotonic_time since = target.leaving_since;
-    if (leaving_counts_from_take_over)
-    {
-        since = std::max(since, vm->second.owner_since[f.send.target]);
-    }
-    if (target.leaving && late(since))
+    if (target.leaving && late(target.leaving_since))
     {
         report(invariant::leaving_target, now,
             f.send.vm + " sent to " + f.send.target + ", which is leaving");
--- a/tests/fuzz/oracle.hpp
+++ b/tests/fuzz/oracle.hpp
@@ -119,10 +119,6 @@
     target_started(const std::string& target, const std::string& instance);
     void
     target_leaving(const std::string& target, bool leaving, monotonic_time now);
-    /// The VM may send to the target from now on.
-    void
-    took_over(
-        const std::string& vm, const std::string& target, monotonic_time now);
     /// A reply or a report reached the part of the VM that sends.
     void
     heard(const std::string& vm, const std::string& target,
@@ -166,10 +162,6 @@
     {
         return violations_;
     }
-
-    /// Counts the bound of R9 for a target's own word from the take-over by its
-    /// owner: while a target has no owner, nobody reads its word.
-    bool leaving_counts_from_take_over = true;
     std::size_t executions = 0;
     std::size_t answers = 0;
     std::size_t whole_answers = 0;
@@ -180,7 +172,6 @@
         monotonic_time calm_since;
         std::uint64_t version = 0;
         std::map<std::string, std::pair<std::string, std::uint32_t>> heard;
-        std::map<std::string, monotonic_time> owner_since; ///< by target
     };
 
     struct target_facts
--- a/tests/fuzz/test_fuzz.cpp
+++ b/tests/fuzz/test_fuzz.cpp
@@ -35,7 +35,6 @@
     // Guards against work for a target that began to leave while it had no
     // owner: the bound of R9 counts from the target's own word.
     world w(161973, breakage::none);
-    w.judge.leaving_counts_from_take_over = false;
     w.apply({command_kind::drain, 2, 0, 0});
     w.apply({command_kind::kill_vm, 0, 0, 50});
     w.settle();
--- a/tests/fuzz/world_owner.cpp
+++ b/tests/fuzz/world_owner.cpp
@@ -129,10 +129,7 @@
         refuse(vm, refuse_all(state, miss_reason::lease_lapsed));
         return;
     }
-    if (vm.held.insert(row.name).second)
-    {
-        judge.took_over(vm.self.id, row.name, now_);
-    }
+    vm.held.insert(row.name);
     const std::uint32_t foreign =
         fault_ == breakage::no_foreign_count
             ? 0
--- a/tests/test_target_limits.cpp
+++ b/tests/test_target_limits.cpp
@@ -97,6 +97,22 @@
     CHECK(f.start_all(0) == 5);
 }
 
+// Guards against work for a target that began to leave while its former owner
+// was dead: the new owner has only that owner's last report.
+TEST_CASE("a new owner polls a target before the first send", "[target_limits]")
+{
+    fixture f;
+    target_report report;
+    report.reachable = true;
+    report.instance = "i1";
+    report.proven_limit = 3;
+    inherit(f.state, report);
+    f.add();
+    CHECK(f.start_all(0) == 0);
+    on_status(f.state, report, start, f.random);
+    CHECK(f.start_all(0) == 1);
+}
+
 // Guards against a queue that serves low worth first, drops high worth when
 // full, or lets a low-worth entry wait without bound.
 TEST_CASE("the queue is ordered by worth, then deadline", "[target_limits]")
