--- a/include/bramleymux/stats.hpp
+++ b/include/bramleymux/stats.hpp
@@ -18,7 +18,7 @@
     failed_unknown,      ///< outcome unknown to this VM
     shards_asked,
     shards_answered,
-    sub_requests, ///< first attempts
+    sub_requests, ///< sent, with hedges and retries
     sub_requests_hedged,
     sub_requests_retried,
     sub_requests_cancelled,
