Share the command line's reading of one answer

Cause: show_status and show_moves were the same function but for the path and the printer. Change: show_answer serves both. The test programs do not link it.

--- a/tools/bramleymux/commands.cpp
+++ b/tools/bramleymux/commands.cpp
@@ -78,6 +78,20 @@
     }
 }
 
+template <class Print>
+exit_code
+show_answer(
+    const command_options& options, const std::string& path, const Print& print)
+{
+    json answer;
+    if (!get(options, path, answer))
+    {
+        return exit_code::no_answer;
+    }
+    show(options, answer, print);
+    return exit_code::ok;
+}
+
 exit_code
 exit_code_of(const json& result, int status)
 {
@@ -160,25 +174,13 @@
 exit_code
 show_status(const command_options& options)
 {
-    json answer;
-    if (!get(options, "/v1/status", answer))
-    {
-        return exit_code::no_answer;
-    }
-    show(options, answer, print_status);
-    return exit_code::ok;
+    return show_answer(options, "/v1/status", print_status);
 }
 
 exit_code
 show_moves(const command_options& options)
 {
-    json answer;
-    if (!get(options, "/v1/moves", answer))
-    {
-        return exit_code::no_answer;
-    }
-    show(options, answer, print_moves);
-    return exit_code::ok;
+    return show_answer(options, "/v1/moves", print_moves);
 }
 
 json
