Add the decisions of an entry path over an event loop

Cause: on the users' platform every VM sends straight to targets that guard their own slots; forwarding through owners and a thread for each query do not fit a quarter of a core. Change: routes, shards and targets as plain types; choice of a target by what its replies say; merge of records and the time of a partial answer; the part of one VM in the budget of hedges and retries; HTTP messages by Boost.Beast.

--- a/src/config.hpp
+++ b/src/config.hpp
@@ -300,4 +300,78 @@
 inline constexpr std::size_t max_pending_spans = 4096;
 inline constexpr auto span_export_period = 1s;
 
+// Entry path over an event loop.
+inline constexpr std::size_t record_bytes = 16;
+inline constexpr std::size_t extra_load_buckets = 21;
+// Covers sends that reach a target in another window than they were counted in.
+inline constexpr double extra_load_margin = 0.9;
+// Network and processing time between a decision and the caller's receipt.
+inline constexpr auto answer_margin = 14ms;
+inline constexpr auto give_up_margin = 12ms;
+inline constexpr auto connect_timeout = 250ms;
+inline constexpr auto health_timeout = 1s;
+// An abandoned sub-request may finish within this time, which keeps its
+// connection; a new one costs the target more than the rest of the work.
+inline constexpr auto abandon_linger = 250ms;
+inline constexpr auto silent_target = 1500ms; // without a reply: unreachable
+inline constexpr auto idle_connection_max = 8s;
+inline constexpr auto keep_alive_margin = 500ms;
+inline constexpr auto maintenance_period = 50ms;
+// Probes and unacknowledged data find a peer that is gone without a reset.
+inline constexpr int keep_alive_idle_s = 2;
+inline constexpr int keep_alive_interval_s = 1;
+inline constexpr int keep_alive_probes = 2;
+inline constexpr auto silent_peer = 3s;
+inline constexpr std::size_t max_reply_header_bytes = 32 * kib;
+inline constexpr int listen_backlog = 512;
+// Before the process is killed at the end of its grace time.
+inline constexpr auto exit_margin = 500ms;
+inline constexpr std::size_t socket_read_bytes = 16 * kib;
+inline constexpr std::size_t max_pipelined_bytes = 64 * kib;
+inline constexpr auto close_drain_time = 1s;
+
+// Connections of a VM to one target, out of those that the target accepts.
+inline constexpr double connection_share = 0.9;
+inline constexpr std::size_t min_links_per_target = 2;
+inline constexpr std::size_t max_links_per_target = 8;
+// Before the VMs have been counted, shared sums are divided by this many.
+inline constexpr std::size_t assumed_vms = 64;
+
+// Decision log: lines of each event.
+inline constexpr double log_lines_per_second = 20.0;
+inline constexpr double log_lines_burst = 100.0;
+inline constexpr std::size_t max_pending_log_bytes = 256 * kib;
+
+// Choice of a target.
+inline constexpr double other_zone_factor = 1.5; // above the spread of speeds
+inline constexpr double choice_jitter = 0.15;
+inline constexpr double stalled_factor = 12.0;
+inline constexpr double cold_factor = 4.0;
+// Of the rate that a cold target bears, for requests of several VMs that meet.
+inline constexpr double cold_rate_share = 0.6;
+inline constexpr double error_factor = 8.0;
+inline constexpr double shed_factor = 3.0;
+inline constexpr auto shed_memory = 300ms;
+inline constexpr double pace_gain = 0.3;
+inline constexpr double max_pace = 20.0;
+inline constexpr auto pace_half_life = 2s;
+inline constexpr auto stall_floor = 20ms;
+inline constexpr double stall_multiple = 3.0; // of the expected latency
+inline constexpr auto block_base = 200ms;
+inline constexpr auto block_max = 1600ms;
+// A removed registration is kept this long as a last resort: registrations can
+// lapse by mistake and come back.
+inline constexpr auto lapsed_grace = 1800ms;
+
+// Hedging of the entry path.
+inline constexpr double entry_hedge_quantile = 0.95;
+inline constexpr double hedge_stretch = 1.2;
+inline constexpr double hedge_latest_share = 0.45; // of the target latency
+inline constexpr auto hedge_floor = 8ms;
+inline constexpr std::uint32_t max_rejections = 2; // a shard, besides attempts
+
+// Refusals name the time after which a retry is worth while.
+inline constexpr auto retry_after_min = 100ms;
+inline constexpr auto retry_after_spread = 200ms;
+
 } // namespace bramleymux::config
--- /dev/null
+++ b/src/extra_load_window.cpp
@@ -0,0 +1,76 @@
+#include "extra_load_window.hpp"
+
+#include <algorithm>
+
+namespace bramleymux
+{
+
+namespace
+{
+
+// One bucket more than the window has, so that the window is never counted
+// shorter than it is.
+constexpr std::int64_t buckets_of_window =
+    static_cast<std::int64_t>(config::extra_load_buckets) - 1;
+
+std::int64_t
+epoch_of(const extra_load_limits& limits, monotonic_time now)
+{
+    const auto width =
+        std::max<std::int64_t>(limits.window.count() / buckets_of_window, 1);
+    return now.time_since_epoch().count() / width;
+}
+
+extra_load_window::bucket&
+current(extra_load_window& window, std::int64_t epoch)
+{
+    auto& bucket = window.buckets[static_cast<std::size_t>(epoch) %
+                                  config::extra_load_buckets];
+    if (bucket.epoch != epoch)
+    {
+        bucket = {epoch, 0, 0};
+    }
+    return bucket;
+}
+
+} // namespace
+
+void
+note_first(extra_load_window& window, const extra_load_limits& limits,
+    monotonic_time now)
+{
+    ++current(window, epoch_of(limits, now)).first;
+}
+
+bool
+take_extra(extra_load_window& window, const extra_load_limits& limits,
+    std::size_t vms, monotonic_time now)
+{
+    const std::int64_t epoch = epoch_of(limits, now);
+    auto& bucket = current(window, epoch);
+    double first = 0;
+    double extra = 0;
+    for (const auto& b : window.buckets)
+    {
+        if (b.epoch > epoch - static_cast<std::int64_t>(window.buckets.size()))
+        {
+            first += b.first;
+            extra += b.extra;
+        }
+    }
+    // The oldest bucket may already be outside the window.
+    const double counted = first * static_cast<double>(buckets_of_window) /
+                           static_cast<double>(window.buckets.size());
+    const double slack =
+        limits.slack / static_cast<double>(std::max<std::size_t>(vms, 1));
+    const double allowed =
+        config::extra_load_margin * (limits.ratio * counted + slack);
+    if (extra + 1.0 > allowed)
+    {
+        return false;
+    }
+    ++bucket.extra;
+    return true;
+}
+
+} // namespace bramleymux
--- /dev/null
+++ b/src/gather.cpp
@@ -0,0 +1,88 @@
+#include "gather.hpp"
+
+#include "config.hpp"
+
+#include <algorithm>
+
+namespace bramleymux
+{
+
+namespace
+{
+
+// 0.8 * 15 is a little above 12 in binary fractions.
+constexpr double rounding = 1e-9;
+
+bool
+enough(const gather_progress& p, std::size_t shards)
+{
+    return static_cast<double>(shards) + rounding >=
+           p.min_coverage * static_cast<double>(p.shards);
+}
+
+duration
+partial_answer_time(const gather_progress& p)
+{
+    return std::max(p.target_latency - config::answer_margin,
+        duration(p.target_latency / 2));
+}
+
+} // namespace
+
+std::string
+merge_records(const std::vector<std::string_view>& parts, std::size_t limit)
+{
+    std::vector<std::string_view> records;
+    for (std::string_view part : parts)
+    {
+        for (; part.size() >= config::record_bytes;
+             part.remove_prefix(config::record_bytes))
+        {
+            records.push_back(part.substr(0, config::record_bytes));
+        }
+    }
+    const std::size_t kept = std::min(limit, records.size());
+    std::partial_sort(records.begin(),
+        records.begin() + static_cast<std::ptrdiff_t>(kept), records.end(),
+        std::greater<>());
+    std::string out;
+    out.reserve(kept * config::record_bytes);
+    for (std::size_t i = 0; i < kept; ++i)
+    {
+        out += records[i];
+    }
+    return out;
+}
+
+bool
+covers(const gather_progress& p)
+{
+    return p.answered > 0 && enough(p, p.answered);
+}
+
+gather_step
+next_step(const gather_progress& p)
+{
+    if (p.answered == p.shards)
+    {
+        return gather_step::answer;
+    }
+    const bool over = p.open == 0 || p.elapsed >= p.give_up;
+    const bool reachable = enough(p, p.answered + p.open);
+    if (covers(p))
+    {
+        return over || p.elapsed >= partial_answer_time(p) ? gather_step::answer
+                                                           : gather_step::wait;
+    }
+    return over || !reachable ? gather_step::fail : gather_step::wait;
+}
+
+duration
+next_decision(const gather_progress& p)
+{
+    const duration partial = partial_answer_time(p);
+    return covers(p) && p.elapsed < partial ? std::min(partial, p.give_up)
+                                            : p.give_up;
+}
+
+} // namespace bramleymux
--- /dev/null
+++ b/src/http_codec.cpp
@@ -0,0 +1,339 @@
+#include "http_codec.hpp"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/status.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <algorithm>
+#include <array>
+#include <optional>
+
+namespace bramleymux
+{
+
+namespace http = boost::beast::http;
+using boost::beast::error_code;
+
+namespace
+{
+
+char
+lower(char c)
+{
+    return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+}
+
+constexpr std::array<std::string_view, 9> hop_names{"connection", "keep-alive",
+    "proxy-connection", "proxy-authenticate", "proxy-authorization", "te",
+    "trailer", "transfer-encoding", "upgrade"};
+
+/// Whether `name` is an element of a comma-separated list.
+bool
+lists(std::string_view list, std::string_view name)
+{
+    while (!list.empty())
+    {
+        const std::size_t comma = std::min(list.find(','), list.size());
+        std::string_view item = list.substr(0, comma);
+        while (!item.empty() && item.front() == ' ')
+        {
+            item.remove_prefix(1);
+        }
+        while (!item.empty() && item.back() == ' ')
+        {
+            item.remove_suffix(1);
+        }
+        if (equal_without_case(item, name))
+        {
+            return true;
+        }
+        list.remove_prefix(std::min(comma + 1, list.size()));
+    }
+    return false;
+}
+
+template <class Message>
+header_fields
+fields_of(const Message& message)
+{
+    header_fields out;
+    for (const auto& field : message)
+    {
+        const auto name = field.name_string();
+        const auto value = field.value();
+        out.push_back({std::string(name.data(), name.size()),
+            std::string(value.data(), value.size())});
+    }
+    return out;
+}
+
+read_result
+result_of(error_code error)
+{
+    if (error == http::error::need_more)
+    {
+        return read_result::need_more;
+    }
+    if (error == http::error::header_limit)
+    {
+        return read_result::header_too_long;
+    }
+    if (error == http::error::body_limit)
+    {
+        return read_result::body_too_long;
+    }
+    return read_result::bad;
+}
+
+template <class Parser>
+read_result
+feed(Parser& parser, std::string& bytes)
+{
+    std::size_t used = 0;
+    read_result result = read_result::need_more;
+    while (!parser.is_done() && used < bytes.size())
+    {
+        error_code error;
+        const std::size_t n = parser.put(
+            boost::asio::buffer(bytes.data() + used, bytes.size() - used),
+            error);
+        used += n;
+        if (error)
+        {
+            result = result_of(error);
+            break;
+        }
+        if (n == 0)
+        {
+            break;
+        }
+    }
+    bytes.erase(0, used);
+    return parser.is_done() ? read_result::complete : result;
+}
+
+/// A transfer coding other than a single "chunked" leaves the length of the
+/// body to interpretation, which request smuggling exploits.
+template <class Message>
+bool
+has_clear_framing(const Message& message)
+{
+    const auto [first, last] =
+        message.equal_range(http::field::transfer_encoding);
+    std::size_t codings = 0;
+    for (auto it = first; it != last; ++it)
+    {
+        const auto value = it->value();
+        if (!equal_without_case({value.data(), value.size()}, "chunked"))
+        {
+            return false;
+        }
+        ++codings;
+    }
+    return codings <= 1 && message.count(http::field::host) <= 1;
+}
+
+} // namespace
+
+bool
+equal_without_case(std::string_view a, std::string_view b)
+{
+    return std::equal(a.begin(), a.end(), b.begin(), b.end(),
+        [](char x, char y) { return lower(x) == lower(y); });
+}
+
+const std::string*
+find_field(const header_fields& fields, std::string_view name)
+{
+    const auto found = std::find_if(fields.begin(), fields.end(),
+        [&](const header_field& f)
+        { return equal_without_case(f.name, name); });
+    return found == fields.end() ? nullptr : &found->value;
+}
+
+bool
+is_hop_field(const header_fields& all, std::string_view name)
+{
+    if (equal_without_case(name, "content-length") ||
+        std::any_of(hop_names.begin(), hop_names.end(),
+            [&](std::string_view n) { return equal_without_case(n, name); }))
+    {
+        return true;
+    }
+    return std::any_of(all.begin(), all.end(),
+        [&](const header_field& f) {
+            return equal_without_case(f.name, "connection") &&
+                   lists(f.value, name);
+        });
+}
+
+struct request_reader::state
+{
+    std::optional<http::request_parser<http::string_body>> parser;
+    bool any_byte = false;
+};
+
+request_reader::request_reader() : state_(std::make_unique<state>()) {}
+
+request_reader::~request_reader() = default;
+
+read_result
+request_reader::read(std::string& bytes, const read_limits& limits)
+{
+    if (!state_->parser)
+    {
+        state_->parser.emplace();
+        state_->parser->eager(true);
+        state_->parser->header_limit(
+            static_cast<std::uint32_t>(limits.header_bytes));
+        state_->parser->body_limit(limits.body_bytes);
+        state_->any_byte = false;
+    }
+    state_->any_byte = state_->any_byte || !bytes.empty();
+    const read_result result = feed(*state_->parser, bytes);
+    if (state_->parser->is_header_done() &&
+        !has_clear_framing(state_->parser->get()))
+    {
+        return read_result::bad;
+    }
+    return result;
+}
+
+bool
+request_reader::started() const
+{
+    return state_->parser && state_->any_byte;
+}
+
+bool
+request_reader::header_done() const
+{
+    return state_->parser && state_->parser->is_header_done();
+}
+
+bool
+request_reader::expects_continue() const
+{
+    return header_done() &&
+           boost::beast::iequals(
+               state_->parser->get()[http::field::expect], "100-continue");
+}
+
+http_request
+request_reader::take()
+{
+    auto message = state_->parser->release();
+    state_->parser.reset();
+    http_request out;
+    out.method = std::string(message.method_string());
+    out.path = std::string(message.target());
+    out.fields = fields_of(message);
+    out.keep_alive = message.keep_alive();
+    out.body = std::move(message.body());
+    return out;
+}
+
+struct reply_reader::state
+{
+    std::optional<http::response_parser<http::string_body>> parser;
+    bool by_end = false;
+};
+
+reply_reader::reply_reader() : state_(std::make_unique<state>()) {}
+
+reply_reader::~reply_reader() = default;
+
+read_result
+reply_reader::read(std::string& bytes, const read_limits& limits, bool bodiless)
+{
+    if (!state_->parser)
+    {
+        state_->parser.emplace();
+        state_->parser->eager(true);
+        state_->parser->header_limit(
+            static_cast<std::uint32_t>(limits.header_bytes));
+        state_->parser->body_limit(limits.body_bytes);
+        state_->parser->skip(bodiless);
+        state_->by_end = false;
+    }
+    read_result result = feed(*state_->parser, bytes);
+    const bool informational = result == read_result::complete &&
+                               state_->parser->get().result_int() < 200;
+    if (informational)
+    {
+        state_->parser.reset();
+        return bytes.empty() ? read_result::need_more
+                             : read(bytes, limits, bodiless);
+    }
+    if (state_->parser->is_header_done() &&
+        !has_clear_framing(state_->parser->get()))
+    {
+        return read_result::bad;
+    }
+    return result;
+}
+
+read_result
+reply_reader::end_of_stream()
+{
+    if (!state_->parser || !state_->parser->is_header_done())
+    {
+        return read_result::bad;
+    }
+    error_code error;
+    state_->parser->put_eof(error);
+    state_->by_end = true;
+    return error || !state_->parser->is_done() ? read_result::bad
+                                               : read_result::complete;
+}
+
+http_reply
+reply_reader::take()
+{
+    auto message = state_->parser->release();
+    state_->parser.reset();
+    http_reply out;
+    out.status = static_cast<int>(message.result_int());
+    out.fields = fields_of(message);
+    out.framed = !state_->by_end;
+    out.keep_alive = message.keep_alive() && out.framed;
+    out.body = std::move(message.body());
+    return out;
+}
+
+std::string_view
+reason_of(int status)
+{
+    const auto text = http::obsolete_reason(
+        http::int_to_status(static_cast<unsigned>(status)));
+    return {text.data(), text.size()};
+}
+
+std::string
+serialize(const http_reply& reply, bool bodiless)
+{
+    std::string out = "HTTP/1.1 " + std::to_string(reply.status) + " ";
+    out += reason_of(reply.status);
+    out += "\r\n";
+    for (const header_field& field : reply.fields)
+    {
+        out += field.name + ": " + field.value + "\r\n";
+    }
+    if (reply.status != 204 && reply.status != 304)
+    {
+        out += "Content-Length: " + std::to_string(reply.body.size()) + "\r\n";
+    }
+    if (!reply.keep_alive)
+    {
+        out += "Connection: close\r\n";
+    }
+    out += "\r\n";
+    if (!bodiless && reply.status != 204 && reply.status != 304)
+    {
+        out += reply.body;
+    }
+    return out;
+}
+
+} // namespace bramleymux
--- /dev/null
+++ b/src/target_choice.cpp
@@ -0,0 +1,304 @@
+#include "target_choice.hpp"
+
+#include "config.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace bramleymux
+{
+
+namespace
+{
+
+double
+fade(const target_state& target, monotonic_time now)
+{
+    const std::chrono::duration<double> elapsed = now - target.measured_at;
+    const std::chrono::duration<double> half_life = config::pace_half_life;
+    return std::exp2(-std::max(elapsed / half_life, 0.0));
+}
+
+/// Pace and error rate, faded to `now`.
+void
+refresh(target_state& target, monotonic_time now)
+{
+    const double kept = fade(target, now);
+    target.pace = 1.0 + (target.pace - 1.0) * kept;
+    target.error_rate *= kept;
+    target.measured_at = now;
+}
+
+double
+pace_of_sample(duration took, duration expected)
+{
+    const double usual =
+        std::max<double>(static_cast<double>(expected.count()), 1.0);
+    return std::min(
+        static_cast<double>(took.count()) / usual, config::max_pace);
+}
+
+void
+block(target_state& target, monotonic_time now)
+{
+    target.blocked = true;
+    const auto step = std::min<std::uint32_t>(target.failures, 8);
+    const duration wait = std::min<duration>(
+        config::block_max, duration(config::block_base) * (1U << step));
+    ++target.failures;
+    target.probe_at = now + wait;
+}
+
+void
+note_outcome(target_state& target, send_outcome outcome, monotonic_time now)
+{
+    if (outcome == send_outcome::cancelled)
+    {
+        return;
+    }
+    const bool error = outcome == send_outcome::failed ||
+                       outcome == send_outcome::broken ||
+                       outcome == send_outcome::unreachable;
+    target.error_rate +=
+        config::pace_gain * ((error ? 1.0 : 0.0) - target.error_rate);
+    switch (outcome)
+    {
+    case send_outcome::good:
+    case send_outcome::failed:
+        target.failures = 0;
+        break;
+    case send_outcome::shed:
+        target.shed_until = now + config::shed_memory;
+        break;
+    case send_outcome::unreachable:
+        block(target, now);
+        break;
+    case send_outcome::misdirected:
+        target.misdirected = true;
+        break;
+    default:
+        break;
+    }
+}
+
+/// Time between two requests of this VM to a cold target, such that the sum
+/// over all VMs stays below the rate that the target bears.
+duration
+cold_interval(const choice_context& context)
+{
+    const double rate =
+        config::cold_rate_share * context.cold_rate /
+        static_cast<double>(std::max<std::size_t>(context.vms, 1));
+    return std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(1.0 / rate));
+}
+
+bool
+is_limited(const target_state& target, const choice_context& context)
+{
+    return context.now < target.cold_until && context.cold_rate > 0.0;
+}
+
+} // namespace
+
+void
+note_sent(target_state& target, std::uint64_t id, duration expected,
+    monotonic_time now)
+{
+    target.running.push_back({id, now, expected});
+}
+
+duration
+note_ended(target_state& target, std::uint64_t id, send_outcome outcome,
+    monotonic_time now)
+{
+    const auto found =
+        std::find_if(target.running.begin(), target.running.end(),
+            [&](const running_send& s) { return s.id == id; });
+    if (found == target.running.end())
+    {
+        return duration::zero();
+    }
+    const running_send send = *found;
+    target.running.erase(found);
+    refresh(target, now);
+    const double step =
+        config::pace_gain *
+        (pace_of_sample(now - send.since, send.expected) - target.pace);
+    if (outcome == send_outcome::good ||
+        (outcome == send_outcome::cancelled && step > 0.0))
+    {
+        target.pace += step;
+    }
+    note_outcome(target, outcome, now);
+    return now - send.since;
+}
+
+void
+note_overdue(target_state& target, std::uint64_t id, monotonic_time now)
+{
+    const auto found =
+        std::find_if(target.running.begin(), target.running.end(),
+            [&](const running_send& s) { return s.id == id; });
+    if (found != target.running.end())
+    {
+        refresh(target, now);
+        const double sample =
+            pace_of_sample(now - found->since, found->expected);
+        target.pace += config::pace_gain * std::max(sample - target.pace, 0.0);
+    }
+}
+
+void
+note_load(target_state& target, const target_load& load, monotonic_time now)
+{
+    target.load = load;
+    target.load_at = now;
+}
+
+void
+note_recovered(target_state& target)
+{
+    target.blocked = false;
+    target.probing = false;
+    target.failures = 0;
+}
+
+void
+note_probe_failed(target_state& target, monotonic_time now)
+{
+    target.probing = false;
+    block(target, now);
+}
+
+void
+note_silent(target_state& target, monotonic_time now)
+{
+    if (!target.blocked)
+    {
+        block(target, now);
+    }
+}
+
+bool
+is_stalled(const target_state& target, monotonic_time now)
+{
+    return std::any_of(target.running.begin(), target.running.end(),
+        [&](const running_send& s)
+        {
+            const std::chrono::duration<double> limit =
+                std::chrono::duration<double>(config::stall_floor) +
+                config::stall_multiple * s.expected;
+            return now - s.since > limit;
+        });
+}
+
+bool
+is_usable(
+    const target_state& target, const choice_context& context, bool last_resort)
+{
+    if (target.record.leaving || target.misdirected || target.blocked ||
+        target.full || (target.lapsed_at && !last_resort))
+    {
+        return false;
+    }
+    if (context.zones_out != nullptr &&
+        std::find(context.zones_out->begin(), context.zones_out->end(),
+            target.record.zone) != context.zones_out->end())
+    {
+        return false;
+    }
+    return !is_limited(target, context) || context.now >= target.cold_next;
+}
+
+double
+cost_of(const target_state& target, const choice_context& context)
+{
+    const double kept = fade(target, context.now);
+    const double slots = std::max(target.record.slots, 1U);
+    const bool load_known =
+        context.now - target.load_at < config::pace_half_life;
+    const double waiting = load_known ? target.load.waiting : 0.0;
+    const auto running = static_cast<double>(target.running.size());
+    double cost = 1.0 + (target.pace - 1.0) * kept;
+    cost *= 1.0 + (running + waiting) / slots;
+    cost *= 1.0 + config::error_factor * target.error_rate * kept;
+    if (context.zone != nullptr && target.record.zone != *context.zone)
+    {
+        cost *= config::other_zone_factor;
+    }
+    if (is_stalled(target, context.now))
+    {
+        cost *= config::stalled_factor;
+    }
+    if (context.now < target.cold_until)
+    {
+        cost *= config::cold_factor;
+    }
+    if (context.now < target.shed_until)
+    {
+        cost *= config::shed_factor;
+    }
+    return cost;
+}
+
+target_state*
+choose_target(const std::vector<target_state*>& targets,
+    const choice_context& context, std::mt19937_64& random)
+{
+    std::uniform_real_distribution<double> jitter(
+        1.0, 1.0 + config::choice_jitter);
+    for (const bool last_resort : {false, true})
+    {
+        target_state* best = nullptr;
+        double best_cost = 0.0;
+        for (target_state* target : targets)
+        {
+            const bool tried =
+                context.tried != nullptr &&
+                std::find(context.tried->begin(), context.tried->end(),
+                    target) != context.tried->end();
+            if (tried || !is_usable(*target, context, last_resort))
+            {
+                continue;
+            }
+            const double cost = cost_of(*target, context) * jitter(random);
+            if (best == nullptr || cost < best_cost)
+            {
+                best = target;
+                best_cost = cost;
+            }
+        }
+        if (best != nullptr)
+        {
+            return best;
+        }
+    }
+    return nullptr;
+}
+
+void
+note_cold(target_state& target, duration left, const choice_context& context,
+    std::mt19937_64& random)
+{
+    const bool was_cold = context.now < target.cold_until;
+    target.cold_until = context.now + left;
+    if (!was_cold && is_limited(target, context))
+    {
+        std::uniform_real_distribution<double> part(0.0, 1.0);
+        target.cold_next =
+            context.now + std::chrono::duration_cast<duration>(
+                              part(random) * cold_interval(context));
+    }
+}
+
+void
+spend_cold_allowance(target_state& target, const choice_context& context)
+{
+    if (is_limited(target, context))
+    {
+        target.cold_next = context.now + cold_interval(context);
+    }
+}
+
+} // namespace bramleymux
