Deliver the result of a send later, never from within it

Change: failed writes and withdrawn sends end in the next turn of the loop. Tests of the entry path over loopback and of its decisions.

--- a/src/entry_server.cpp
+++ b/src/entry_server.cpp
@@ -82,6 +82,19 @@
            add(metrics, listener::kind::local);
 }
 
+std::vector<std::string>
+entry_server::addresses() const
+{
+    std::vector<std::string> out;
+    for (const auto& l : listeners_)
+    {
+        const auto endpoint = l->acceptor.local_endpoint();
+        out.push_back(endpoint.address().to_string() + ":" +
+                      std::to_string(endpoint.port()));
+    }
+    return out;
+}
+
 void
 entry_server::accept(listener& from)
 {
--- a/src/entry_server.hpp
+++ b/src/entry_server.hpp
@@ -33,6 +33,10 @@
     listen(const std::string& callers, const std::string& readiness,
         const std::string& metrics);
 
+    /// Bound addresses in the order of `listen`.
+    std::vector<std::string>
+    addresses() const;
+
     /// The state that new requests pin. Versions never go back.
     bool
     adopt(std::shared_ptr<const desired_state> state);
--- a/src/stream_socket.cpp
+++ b/src/stream_socket.cpp
@@ -58,7 +58,7 @@
     const char* const end = address.data() + address.size();
     const auto [rest, failed] =
         std::from_chars(address.data() + colon + 1, end, port);
-    if (error || failed != std::errc() || rest != end || port == 0)
+    if (error || failed != std::errc() || rest != end)
     {
         return std::nullopt;
     }
--- a/src/target_link.cpp
+++ b/src/target_link.cpp
@@ -4,6 +4,7 @@
 #include "stream_socket.hpp"
 
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
 
 #include <algorithm>
 #include <array>
@@ -84,7 +85,9 @@
         error);
     if (error && error != asio::error::would_block)
     {
-        close();
+        // Later, since the sender does not expect a result from within a send.
+        asio::post(socket_.get_executor(),
+            [self = shared_from_this()] { self->close(); });
         return;
     }
     writing_ = written_ < output_.size();
--- a/src/target_pool.cpp
+++ b/src/target_pool.cpp
@@ -3,6 +3,8 @@
 #include "config.hpp"
 #include "stream_socket.hpp"
 
+#include <boost/asio/post.hpp>
+
 #include <algorithm>
 
 namespace bramleymux
@@ -349,7 +351,9 @@
         wanted ? pending.order.write(e.state.record.id) : std::string();
     if (bytes.empty())
     {
-        finish(id, send_outcome::shed, false, {});
+        // Results are never delivered from within a send.
+        boost::asio::post(loop_,
+            [this, id] { finish(id, send_outcome::cancelled, false, {}); });
         return;
     }
     pending.link = link;
--- /dev/null
+++ b/tests/entry_fixture.hpp
@@ -0,0 +1,404 @@
+#pragma once
+
+#include "caller_connection.hpp"
+#include "entry_server.hpp"
+#include "platform_wire.hpp"
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/write.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <deque>
+#include <functional>
+#include <map>
+
+/// An entry VM and stand-in targets on one event loop over loopback, without
+/// the platform's store. Tests wait for conditions, never for a time.
+namespace bramleymux
+{
+
+namespace fixture
+{
+
+using boost::asio::ip::tcp;
+using namespace std::chrono_literals;
+
+/// What a stand-in target does with a request.
+struct scripted_reply
+{
+    std::string bytes;        ///< written as they are
+    bool close_after = false; ///< orderly end of the connection
+    bool reset_after = false; ///< connection reset
+    bool silent = false;      ///< no reply at all
+    duration wait{};          ///< before the reply
+};
+
+/// Value of a header of a request as the target received it.
+inline std::string
+header_of(const http_request& request, const std::string& name)
+{
+    const std::string* value = find_field(request.fields, name);
+    return value == nullptr ? std::string() : *value;
+}
+
+inline std::string
+http_text(int status, const std::string& headers, const std::string& body)
+{
+    return "HTTP/1.1 " + std::to_string(status) + " X\r\n" + headers +
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+/// A good reply to `request` with the proof `proof`.
+inline scripted_reply
+good(const http_request& request, const std::string& proof,
+    const std::string& body)
+{
+    return {http_text(200,
+        "X-Request-Id: " + header_of(request, "X-Request-Id") +
+            "\r\nX-Response-Stamp: " + proof + "\r\n",
+        body)};
+}
+
+/// A target process on a loopback port that answers by a function.
+class stand_in_target
+{
+public:
+    using script = std::function<scripted_reply(const http_request&)>;
+
+    stand_in_target(boost::asio::io_context& loop, std::string id, script s)
+        : loop_(loop), id_(std::move(id)), script_(std::move(s)),
+          acceptor_(loop, tcp::endpoint(tcp::v4(), 0))
+    {
+        accept();
+    }
+
+    std::string
+    address() const
+    {
+        return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+    }
+
+    target_record
+    record(const std::string& service, const std::string& zone) const
+    {
+        target_record out;
+        out.id = id_;
+        out.service = service;
+        out.address = address();
+        out.zone = zone;
+        out.slots = 4;
+        return out;
+    }
+
+    void
+    set_script(script s)
+    {
+        script_ = std::move(s);
+    }
+
+    std::vector<http_request> received;
+    std::size_t connections = 0;
+    std::size_t closed_by_peer = 0;
+
+private:
+    struct session : std::enable_shared_from_this<session>
+    {
+        session(stand_in_target& o, tcp::socket&& s)
+            : owner(o), socket(std::move(s))
+        {
+        }
+
+        void
+        read()
+        {
+            socket.async_read_some(boost::asio::buffer(buffer),
+                [self = shared_from_this()](
+                    boost::system::error_code error, std::size_t n)
+                {
+                    if (error)
+                    {
+                        ++self->owner.closed_by_peer;
+                        return;
+                    }
+                    self->input.append(self->buffer.data(), n);
+                    while (self->reader.read(self->input, {65536, 1 << 20}) ==
+                           read_result::complete)
+                    {
+                        self->serve(self->reader.take());
+                    }
+                    self->read();
+                });
+        }
+
+        void
+        serve(http_request&& request)
+        {
+            owner.received.push_back(request);
+            const scripted_reply reply = owner.script_(request);
+            if (reply.silent)
+            {
+                return;
+            }
+            if (reply.wait > duration::zero())
+            {
+                auto timer =
+                    std::make_shared<boost::asio::steady_timer>(owner.loop_);
+                timer->expires_after(reply.wait);
+                timer->async_wait(
+                    [self = shared_from_this(), reply, timer](
+                        boost::system::error_code) { self->write(reply); });
+                return;
+            }
+            write(reply);
+        }
+
+        void
+        write(const scripted_reply& reply)
+        {
+            boost::system::error_code error;
+            boost::asio::write(socket, boost::asio::buffer(reply.bytes), error);
+            if (reply.reset_after)
+            {
+                socket.set_option(tcp::socket::linger(true, 0), error);
+                socket.close(error);
+            }
+            else if (reply.close_after)
+            {
+                socket.shutdown(tcp::socket::shutdown_both, error);
+                socket.close(error);
+            }
+        }
+
+        stand_in_target& owner;
+        tcp::socket socket;
+        std::array<char, 4096> buffer{};
+        std::string input;
+        request_reader reader;
+    };
+
+    void
+    accept()
+    {
+        acceptor_.async_accept(
+            [this](boost::system::error_code error, tcp::socket socket)
+            {
+                if (!error)
+                {
+                    ++connections;
+                    std::make_shared<session>(*this, std::move(socket))->read();
+                    accept();
+                }
+            });
+    }
+
+    boost::asio::io_context& loop_;
+    std::string id_;
+    script script_;
+    tcp::acceptor acceptor_;
+};
+
+/// One caller's connection.
+class test_caller
+{
+public:
+    test_caller(boost::asio::io_context& loop, const std::string& address)
+        : loop_(loop), socket_(loop)
+    {
+        const std::size_t colon = address.rfind(':');
+        socket_.connect({boost::asio::ip::make_address(
+                             address.substr(0, colon)),
+            static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1)))});
+        read();
+    }
+
+    void
+    send(const std::string& bytes)
+    {
+        boost::asio::write(socket_, boost::asio::buffer(bytes));
+    }
+
+    void
+    close()
+    {
+        socket_.close();
+    }
+
+    /// Runs the loop until the next reply, or fails the test.
+    http_reply
+    reply(bool bodiless = false)
+    {
+        bodiless_ = bodiless;
+        run_until([this] { return parse() || closed; });
+        REQUIRE(!replies_.empty());
+        http_reply out = std::move(replies_.front());
+        replies_.pop_front();
+        return out;
+    }
+
+    void
+    run_until(const std::function<bool()>& done)
+    {
+        // Bounds a hang of the test; no expectation depends on it.
+        const auto limit = monotonic_clock::now() + 30s;
+        while (!done() && monotonic_clock::now() < limit)
+        {
+            loop_.run_one_for(5ms);
+            loop_.restart();
+        }
+        REQUIRE(done());
+    }
+
+    bool closed = false;
+
+private:
+    bool
+    parse()
+    {
+        while (!input_.empty() && reader_.read(input_, {65536, 1 << 20},
+                                      bodiless_) == read_result::complete)
+        {
+            replies_.push_back(reader_.take());
+        }
+        return !replies_.empty();
+    }
+
+    void
+    read()
+    {
+        socket_.async_read_some(boost::asio::buffer(buffer_),
+            [this](boost::system::error_code error, std::size_t n)
+            {
+                if (error)
+                {
+                    closed = true;
+                    return;
+                }
+                input_.append(buffer_.data(), n);
+                read();
+            });
+    }
+
+    boost::asio::io_context& loop_;
+    tcp::socket socket_;
+    std::array<char, 4096> buffer_{};
+    std::string input_;
+    reply_reader reader_;
+    bool bodiless_ = false;
+    std::deque<http_reply> replies_;
+};
+
+/// The parts of an entry VM.
+struct entry_vm
+{
+    entry_vm()
+        : null_device(::open("/dev/null", O_WRONLY)), log("vm-1", null_device),
+          random(1), pool(loop, platform::wire(), counters, log,
+                         {"north", {0.2, 100.0, 10s}}),
+          context{loop, pool, platform::wire(), counters, log, routes, random},
+          server(context, {200ms, 400ms})
+    {
+        pool.set_vms(1);
+        REQUIRE(server.listen("127.0.0.1:0", "127.0.0.1:0", ""));
+        tick();
+    }
+
+    ~entry_vm()
+    {
+        ::close(null_device);
+    }
+
+    void
+    tick()
+    {
+        pool.tick();
+        server.tick();
+        timer.expires_after(10ms);
+        timer.async_wait(
+            [this](boost::system::error_code error)
+            {
+                if (!error)
+                {
+                    tick();
+                }
+            });
+    }
+
+    /// A route over `shards` services, or over one service.
+    static route_rule
+    make_route(const std::string& name, std::vector<std::string> services,
+        bool gather, bool idempotent)
+    {
+        route_rule out;
+        out.name = name;
+        out.host = "h.example";
+        out.prefix = "/" + name + "/";
+        out.idempotent = idempotent;
+        out.timeout = 5s;
+        out.target_latency = 1s;
+        out.attempts = 2;
+        out.result_limit = 3;
+        out.min_coverage = 0.5;
+        if (gather)
+        {
+            out.shards = std::move(services);
+        }
+        else
+        {
+            out.shares = {{services.front(), 1.0}};
+        }
+        return out;
+    }
+
+    void
+    adopt(std::uint64_t version, std::vector<route_rule> rules)
+    {
+        desired_state state;
+        state.version = version;
+        state.routes = std::move(rules);
+        server.adopt(std::make_shared<const desired_state>(std::move(state)));
+        server.set_informed(true);
+    }
+
+    std::string
+    caller_address() const
+    {
+        return server.addresses().at(0);
+    }
+
+    boost::asio::io_context loop{1};
+    int null_device;
+    metrics counters;
+    decision_log log;
+    std::mt19937_64 random;
+    std::unordered_map<std::string, route_stats> routes;
+    target_pool pool;
+    entry_context context;
+    entry_server server;
+    boost::asio::steady_timer timer{loop};
+};
+
+inline std::string
+get(const std::string& path, const std::string& id,
+    const std::string& more = "X-Deadline-Ms: 4000\r\n")
+{
+    return "GET " + path +
+           " HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: " + id + "\r\n" +
+           more + "\r\n";
+}
+
+inline std::string
+post(const std::string& path, const std::string& id, const std::string& body)
+{
+    return "POST " + path +
+           " HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: " + id +
+           "\r\nX-Deadline-Ms: 4000\r\nContent-Length: " +
+           std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+} // namespace fixture
+
+} // namespace bramleymux
--- /dev/null
+++ b/tests/test_entry_decisions.cpp
@@ -0,0 +1,300 @@
+#include "extra_load_window.hpp"
+#include "fleet_view.hpp"
+#include "gather.hpp"
+#include "property.hpp"
+#include "target_choice.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <cstring>
+#include <deque>
+
+using namespace bramleymux;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const monotonic_time start{std::chrono::hours(1)};
+
+target_state
+make_target(const std::string& id, const std::string& zone)
+{
+    target_state out;
+    out.record.id = id;
+    out.record.zone = zone;
+    out.record.slots = 4;
+    out.measured_at = start;
+    return out;
+}
+
+gather_progress
+progress(std::size_t answered, std::size_t open, duration elapsed)
+{
+    gather_progress p;
+    p.shards = 10;
+    p.answered = answered;
+    p.open = open;
+    p.min_coverage = 0.89;
+    p.elapsed = elapsed;
+    p.target_latency = 150ms;
+    p.give_up = 1400ms;
+    return p;
+}
+
+const std::string north = "north";
+
+choice_context
+context_at(monotonic_time now)
+{
+    choice_context out;
+    out.now = now;
+    out.zone = &north;
+    return out;
+}
+
+} // namespace
+
+// Guards against a partial answer that goes out early, late, or with less than
+// the least coverage.
+TEST_CASE("a partial answer goes out just before the target", "[entry]")
+{
+    CHECK(next_step(progress(10, 0, 1ms)) == gather_step::answer);
+    CHECK(next_step(progress(9, 1, 30ms)) == gather_step::wait);
+    CHECK(next_step(progress(9, 1, 140ms)) == gather_step::answer);
+    CHECK(next_step(progress(9, 0, 30ms)) == gather_step::answer);
+    CHECK(next_step(progress(8, 2, 140ms)) == gather_step::wait);
+    CHECK(next_step(progress(8, 2, 1400ms)) == gather_step::fail);
+    CHECK(next_step(progress(8, 1, 30ms)) == gather_step::wait);
+    CHECK(next_step(progress(7, 1, 30ms)) == gather_step::fail);
+    CHECK(next_decision(progress(9, 1, 30ms)) < 150ms);
+    CHECK(next_decision(progress(8, 2, 30ms)) == 1400ms);
+    gather_progress none = progress(0, 0, 1ms);
+    none.min_coverage = 0.0;
+    CHECK(next_step(none) == gather_step::fail);
+}
+
+// Guards against shares like 0.8 of 15 that binary fractions put above 12.
+TEST_CASE("coverage at the least share counts", "[entry]")
+{
+    gather_progress p = progress(12, 3, 2000ms);
+    p.shards = 15;
+    p.min_coverage = 0.8;
+    CHECK(next_step(p) == gather_step::answer);
+}
+
+// Guards against lost, doubled or misordered records for any parts.
+TEST_CASE("merged records are the greatest of all parts", "[entry]")
+{
+    const auto property = [](const std::vector<std::string>& parts)
+    {
+        std::vector<std::string> all;
+        std::vector<std::string_view> views;
+        for (const std::string& part : parts)
+        {
+            views.push_back(part);
+            for (std::size_t i = 0; i + 16 <= part.size(); i += 16)
+            {
+                all.push_back(part.substr(i, 16));
+            }
+        }
+        std::sort(all.begin(), all.end(),
+            [](const std::string& a, const std::string& b)
+            { return std::memcmp(a.data(), b.data(), 16) > 0; });
+        std::string expected;
+        for (std::size_t i = 0; i < std::min<std::size_t>(5, all.size()); ++i)
+        {
+            expected += all[i];
+        }
+        RC_ASSERT(merge_records(views, 5) == expected);
+    };
+    CHECK(test::holds(11, 200, property));
+}
+
+// Guards against more extra sends in some window than ratio and slack allow.
+TEST_CASE("extra sends keep to the budget in every sliding window", "[entry]")
+{
+    const auto property = [](const std::vector<std::uint16_t>& gaps)
+    {
+        const extra_load_limits limits{0.2, 8.0, 10s};
+        constexpr std::size_t vms = 4;
+        extra_load_window window;
+        std::deque<std::pair<monotonic_time, bool>> sent;
+        monotonic_time now = start;
+        for (const std::uint16_t gap : gaps)
+        {
+            now += std::chrono::milliseconds(gap % 700);
+            note_first(window, limits, now);
+            sent.emplace_back(now, false);
+            while (take_extra(window, limits, vms, now))
+            {
+                sent.emplace_back(now, true);
+            }
+            double first = 0;
+            double extra = 0;
+            for (const auto& [at, is_extra] : sent)
+            {
+                if (now - at <= limits.window)
+                {
+                    (is_extra ? extra : first) += 1;
+                }
+            }
+            // The rule takes the requests of the window or an earlier
+            // one, whichever has more.
+            const double earlier =
+                static_cast<double>(std::count_if(sent.begin(), sent.end(),
+                    [&](const auto& s)
+                    {
+                        return !s.second &&
+                               now - s.first <= limits.window * 3 / 2 &&
+                               now - s.first > limits.window / 2;
+                    }));
+            RC_ASSERT(extra <= limits.ratio * std::max(first, earlier) +
+                                   limits.slack / vms + 1e-9);
+        }
+    };
+    CHECK(test::holds(12, 200, property));
+}
+
+// Guards against shares off their weights.
+TEST_CASE("shares keep to their weights", "[entry]")
+{
+    share_picker picker;
+    const std::vector<service_share> shares{{"a", 70}, {"b", 20}, {"c", 10}};
+    std::array<int, 3> counts{};
+    for (int i = 0; i < 100; ++i)
+    {
+        ++counts[picker.pick(shares)];
+    }
+    CHECK(counts == std::array<int, 3>{70, 20, 10});
+}
+
+// Guards against a shorter prefix, another host or a prefix without its slash.
+TEST_CASE("the longest prefix of the host decides", "[entry]")
+{
+    desired_state state;
+    for (const char* prefix : {"/a/", "/a/b/", "/c/"})
+    {
+        route_rule rule;
+        rule.name = prefix;
+        rule.host = "h.example";
+        rule.prefix = prefix;
+        state.routes.push_back(rule);
+    }
+    CHECK(find_route(state, "h.example", "/a/b/1")->name == "/a/b/");
+    CHECK(find_route(state, "H.Example:80", "/a/x")->name == "/a/");
+    CHECK(find_route(state, "h.example", "/ab") == nullptr);
+    CHECK(find_route(state, "i.example", "/a/1") == nullptr);
+}
+
+// Guards against traffic between zones while a sound target is near, and
+// against a near target that is kept although it is slow.
+TEST_CASE("a near target is preferred unless it is slow", "[entry]")
+{
+    target_state near = make_target("n", "north");
+    target_state far = make_target("f", "south");
+    std::mt19937_64 random(1);
+    const std::vector<target_state*> both{&near, &far};
+    for (int i = 0; i < 50; ++i)
+    {
+        CHECK(choose_target(both, context_at(start), random) == &near);
+    }
+    for (std::uint64_t i = 0; i < 5; ++i)
+    {
+        note_sent(near, i, 20ms, start);
+        note_ended(near, i, send_outcome::good, start + 200ms);
+    }
+    CHECK(choose_target(both, context_at(start + 200ms), random) == &far);
+}
+
+// Guards against further requests to a target that is stuck.
+TEST_CASE("a stalled target is avoided until it replies", "[entry]")
+{
+    target_state near = make_target("n", "north");
+    target_state far = make_target("f", "south");
+    std::mt19937_64 random(1);
+    note_sent(near, 1, 20ms, start);
+    CHECK(!is_stalled(near, start + 60ms));
+    CHECK(is_stalled(near, start + 100ms));
+    CHECK(choose_target({&near, &far}, context_at(start + 100ms), random) ==
+          &far);
+    note_ended(near, 1, send_outcome::cancelled, start + 100ms);
+    CHECK(!is_stalled(near, start + 101ms));
+}
+
+// Guards against work for targets that leave, are out, blocked or full, and
+// against a lapsed registration that is used while another target is left.
+TEST_CASE("unusable targets are not chosen", "[entry]")
+{
+    std::mt19937_64 random(1);
+    const std::vector<std::string> out{"south"};
+    choice_context context = context_at(start);
+    context.zones_out = &out;
+    target_state leaving = make_target("l", "north");
+    leaving.record.leaving = true;
+    target_state evacuated = make_target("e", "south");
+    target_state blocked = make_target("b", "north");
+    blocked.blocked = true;
+    target_state lapsed = make_target("x", "north");
+    lapsed.lapsed_at = start;
+    target_state full = make_target("u", "north");
+    full.full = true;
+    std::vector<target_state*> all{
+        &leaving, &evacuated, &blocked, &lapsed, &full};
+    CHECK(choose_target(all, context, random) == &lapsed);
+    target_state sound = make_target("s", "east");
+    all.push_back(&sound);
+    CHECK(choose_target(all, context, random) == &sound);
+}
+
+// Guards against more requests to a cold target than it bears, from all VMs
+// together, also when they learn of the cold start at the same moment.
+TEST_CASE("VMs together keep to a cold target's rate", "[entry]")
+{
+    constexpr std::size_t vms = 8;
+    constexpr double rate = 10.0;
+    std::mt19937_64 random(7);
+    std::vector<target_state> views(vms, make_target("c", "north"));
+    choice_context context = context_at(start);
+    context.vms = vms;
+    context.cold_rate = rate;
+    for (target_state& view : views)
+    {
+        note_cold(view, 20s, context, random);
+    }
+    std::deque<monotonic_time> sent;
+    for (duration t{}; t < 20s; t += 10ms)
+    {
+        context.now = start + t;
+        for (target_state& view : views)
+        {
+            if (choose_target({&view}, context, random) != nullptr)
+            {
+                spend_cold_allowance(view, context);
+                sent.push_back(context.now);
+            }
+        }
+        while (!sent.empty() && context.now - sent.front() >= 1s)
+        {
+            sent.pop_front();
+        }
+        REQUIRE(sent.size() <= rate * 1.5 + 5);
+    }
+    CHECK(!sent.empty());
+}
+
+// Guards against a target that is used again without a probe, and against
+// probes that come without a pause.
+TEST_CASE("an unreachable target waits for a health probe", "[entry]")
+{
+    target_state target = make_target("t", "north");
+    note_sent(target, 1, 20ms, start);
+    note_ended(target, 1, send_outcome::unreachable, start);
+    CHECK(!is_usable(target, context_at(start + 1h), true));
+    const monotonic_time first = target.probe_at;
+    CHECK(first > start);
+    note_probe_failed(target, first);
+    CHECK(target.probe_at - first > first - start);
+    note_recovered(target);
+    CHECK(is_usable(target, context_at(start + 1h), false));
+}
--- /dev/null
+++ b/tests/test_entry_path.cpp
@@ -0,0 +1,406 @@
+#include "entry_fixture.hpp"
+
+using namespace bramleymux;
+using namespace bramleymux::fixture;
+
+namespace
+{
+
+std::string
+record(char key)
+{
+    return std::string(15, '0') + key;
+}
+
+std::string
+value_of(const http_reply& reply, const std::string& name)
+{
+    const std::string* value = find_field(reply.fields, name);
+    return value == nullptr ? std::string() : *value;
+}
+
+scripted_reply
+shed(const http_request&)
+{
+    return {http_text(503, "X-Not-Executed: 1\r\n", "")};
+}
+
+} // namespace
+
+// Guards against a result that is delivered while its send is being made: the
+// query that had already answered answered again and ended the process.
+TEST_CASE("a send delivers its result later", "[entry]")
+{
+    entry_vm vm;
+    stand_in_target target(vm.loop, "t1",
+        [](const http_request& r) { return good(r, "p1", "x"); });
+    vm.pool.put(target.record("s", "north"));
+    test_caller runner(vm.loop, vm.caller_address());
+    const auto order = [](int& delivered, const std::string& bytes)
+    {
+        send_order out;
+        out.write = [bytes](const std::string&) { return bytes; };
+        out.done = [&delivered](send_result&&) { ++delivered; };
+        return out;
+    };
+    int first = 0;
+    vm.pool.send(*vm.pool.choose("s", {}),
+        order(first, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"));
+    CHECK(first == 0);
+    runner.run_until([&] { return first == 1; });
+
+    // The connection is idle now; an empty request withdraws the send.
+    int withdrawn = 0;
+    vm.pool.send(*vm.pool.choose("s", {}), order(withdrawn, ""));
+    CHECK(withdrawn == 0);
+    runner.run_until([&] { return withdrawn == 1; });
+}
+
+// Guards against merged answers that lose, double or misorder records.
+TEST_CASE("an answer merges the greatest records of all shards", "[entry]")
+{
+    entry_vm vm;
+    stand_in_target a(vm.loop, "ta",
+        [](const http_request& r)
+        { return good(r, "pa", record('1') + record('5') + "tail"); });
+    stand_in_target b(vm.loop, "tb",
+        [](const http_request& r)
+        { return good(r, "pb", record('5') + record('3')); });
+    vm.pool.put(a.record("sa", "north"));
+    vm.pool.put(b.record("sb", "south"));
+    vm.adopt(1, {entry_vm::make_route("q", {"sa", "sb"}, true, true)});
+    test_caller caller(vm.loop, vm.caller_address());
+    caller.send(get("/q/1", "r1"));
+    const http_reply reply = caller.reply();
+    CHECK(reply.status == 200);
+    CHECK(reply.body == record('5') + record('5') + record('3'));
+    CHECK(value_of(reply, "X-Part-Stamps") == "pa, pb");
+    CHECK(value_of(reply, "X-Missing-Parts").empty());
+    CHECK(header_of(a.received.at(0), "X-Expect-Instance") == "ta");
+    CHECK(std::stoi(header_of(a.received.at(0), "X-Deadline-Ms")) <= 4000);
+}
+
+// Guards against an answer without its stated number of missing shards.
+TEST_CASE("a shard without a target is stated as missing", "[entry]")
+{
+    entry_vm vm;
+    stand_in_target a(vm.loop, "ta",
+        [](const http_request& r) { return good(r, "pa", record('1')); });
+    vm.pool.put(a.record("sa", "north"));
+    vm.adopt(1, {entry_vm::make_route("q", {"sa", "sb"}, true, true)});
+    test_caller caller(vm.loop, vm.caller_address());
+    caller.send(get("/q/1", "r1"));
+    const http_reply reply = caller.reply();
+    CHECK(reply.status == 200);
+    CHECK(value_of(reply, "X-Missing-Parts") == "1");
+}
+
+// Guards against a failure of a target that is merged as a part.
+TEST_CASE("a failed reply with a proof is no part", "[entry]")
+{
+    entry_vm vm;
+    stand_in_target a(vm.loop, "ta",
+        [](const http_request&) -> scripted_reply
+        { return {http_text(500, "X-Response-Stamp: bad\r\n", record('9'))}; });
+    stand_in_target b(vm.loop, "tb",
+        [](const http_request& r) { return good(r, "pb", record('3')); });
+    vm.pool.put(a.record("sa", "north"));
+    vm.pool.put(b.record("sb", "north"));
+    vm.adopt(1, {entry_vm::make_route("q", {"sa", "sb"}, true, true)});
+    test_caller caller(vm.loop, vm.caller_address());
+    caller.send(get("/q/1", "r1"));
+    const http_reply reply = caller.reply();
+    CHECK(reply.status == 200);
+    CHECK(value_of(reply, "X-Part-Stamps") == "pb");
+    CHECK(reply.body == record('3'));
+}
+
+// Guards against a late second reply that is taken for the next request's.
+TEST_CASE("a reply to another request is skipped", "[entry]")
+{
+    entry_vm vm;
+    std::string former;
+    stand_in_target a(vm.loop, "ta",
+        [&](const http_request& r)
+        {
+            scripted_reply out = good(r, "p-" + header_of(r, "X-Request-Id"),
+                "body of " + header_of(r, "X-Request-Id"));
+            out.bytes = former + out.bytes;
+            former = out.bytes;
+            return out;
+        });
+    vm.pool.put(a.record("s", "north"));
+    vm.adopt(1, {entry_vm::make_route("q", {"s"}, false, true)});
+    test_caller caller(vm.loop, vm.caller_address());
+    caller.send(get("/q/1", "r1"));
+    CHECK(caller.reply().body == "body of r1");
+    caller.send(get("/q/1", "r2"));
+    const http_reply second = caller.reply();
+    CHECK(second.body == "body of r2");
+    CHECK(value_of(second, "X-Response-Stamp") == "p-r2");
+}
+
+// Guards against bytes after a whole reply that reach the next request.
+TEST_CASE("a connection with extra bytes is not used again", "[entry]")
+{
+    entry_vm vm;
+    stand_in_target a(vm.loop, "ta",
+        [](const http_request& r)
+        {
+            scripted_reply out = good(r, "p", "whole");
+            out.bytes += "HTTP/1.1 200 X\r\nContent-Length: 5\r\n"
+                         "X-Response-Stamp: q\r\n\r\nextra";
+            return out;
+        });
+    vm.pool.put(a.record("s", "north"));
+    vm.adopt(1, {entry_vm::make_route("q", {"s"}, false, true)});
+    test_caller caller(vm.loop, vm.caller_address());
+    for (int i = 0; i < 3; ++i)
+    {
+        caller.send(get("/q/1", "r" + std::to_string(i)));
+        CHECK(caller.reply().body == "whole");
+    }
+    CHECK(a.connections == 3);
+}
+
+// Guards against a truncated reply that looks complete to the caller.
+TEST_CASE("a truncated reply is repeated elsewhere, or reported", "[entry]")
+{
+    const auto truncated = [](const http_request&) -> scripted_reply
+    {
+        return {"HTTP/1.1 200 X\r\nX-Response-Stamp: p\r\n"
+                "Content-Length: 100\r\n\r\nhalf",
+            true};
+    };
+    entry_vm vm;
+    stand_in_target a(vm.loop, "ta", truncated);
+    stand_in_target b(vm.loop, "tb",
+        [](const http_request& r) { return good(r, "pb", "whole"); });
+    vm.pool.put(a.record("s", "north"));
+    vm.pool.put(b.record("s", "far"));
+    vm.pool.put(a.record("lone", "north"));
+    vm.adopt(1, {entry_vm::make_route("q", {"s"}, false, true)});
+    test_caller caller(vm.loop, vm.caller_address());
+    // "ta" belongs to the service registered last, so "tb" serves alone.
+    caller.send(get("/q/1", "r1"));
+    CHECK(caller.reply().body == "whole");
+
+    vm.adopt(2, {entry_vm::make_route("q", {"lone"}, false, true)});
+    caller.send(get("/q/1", "r2"));
+    CHECK(caller.reply().status == 502);
+}
+
+// Guards against a second run of a request that must not run twice, and
+// against a refusal that promises too much.
+TEST_CASE("a non-idempotent request is not repeated after a send", "[entry]")
+{
+    entry_vm vm;
+    const auto lost = [](const http_request&) -> scripted_reply {
+        return {"", false, true};
+    };
+    stand_in_target a(vm.loop, "ta", lost);
+    stand_in_target b(vm.loop, "tb", lost);
+    vm.pool.put(a.record("s", "north"));
+    vm.pool.put(b.record("s", "north"));
+    vm.adopt(1, {entry_vm::make_route("w", {"s"}, false, false)});
+    test_caller caller(vm.loop, vm.caller_address());
+    caller.send(post("/w/1", "r1", "promotion"));
+    CHECK(caller.reply().status == 502);
+    CHECK(a.received.size() + b.received.size() == 1);
+}
+
+// Guards against a refused request that is not offered to another target.
+TEST_CASE("a request that a target refused goes to another", "[entry]")
+{
+    entry_vm vm;
+    stand_in_target a(vm.loop, "ta", shed);
+    stand_in_target b(vm.loop, "tb",
+        [](const http_request& r) { return good(r, "pb", r.body); });
+    vm.pool.put(a.record("s", "north"));
+    vm.pool.put(b.record("s", "far"));
+    vm.adopt(1, {entry_vm::make_route("w", {"s"}, false, false)});
+    test_caller caller(vm.loop, vm.caller_address());
+    caller.send(post("/w/1", "r1", "promotion"));
+    const http_reply reply = caller.reply();
+    CHECK(reply.status == 200);
+    CHECK(reply.body == "promotion");
+    CHECK(a.received.size() == 1);
+}
+
+// Guards against a 503 without a time to come back, and a 502 where nothing
+// ran.
+TEST_CASE("a request that ran nowhere is refused with a time", "[entry]")
+{
+    entry_vm vm;
+    stand_in_target a(vm.loop, "ta", shed);
+    vm.pool.put(a.record("s", "north"));
+    vm.adopt(1, {entry_vm::make_route("w", {"s"}, false, false)});
+    test_caller caller(vm.loop, vm.caller_address());
+    caller.send(post("/w/1", "r1", "promotion"));
+    const http_reply reply = caller.reply();
+    CHECK(reply.status == 503);
+    CHECK(!value_of(reply, "Retry-After").empty());
+}
+
+// Guards against a shard that is lost because its first target is mute.
+TEST_CASE("a shard whose target is mute is asked elsewhere", "[entry]")
+{
+    entry_vm vm;
+    stand_in_target a(vm.loop, "ta",
+        [](const http_request&) -> scripted_reply {
+            return {"", false, false, true};
+        });
+    stand_in_target b(vm.loop, "tb",
+        [](const http_request& r) { return good(r, "pb", record('3')); });
+    vm.pool.put(a.record("s", "north"));
+    vm.pool.put(b.record("s", "far"));
+    vm.adopt(1, {entry_vm::make_route("q", {"s"}, true, true)});
+    test_caller caller(vm.loop, vm.caller_address());
+    caller.send(get("/q/1", "r1"));
+    const http_reply reply = caller.reply();
+    CHECK(reply.status == 200);
+    CHECK(value_of(reply, "X-Part-Stamps") == "pb");
+    // The abandoned send is ended, so that the target stops its work.
+    caller.run_until([&] { return a.closed_by_peer == 1; });
+}
+
+// Guards against work that goes on for a caller that left.
+TEST_CASE("a caller that leaves ends its work at the target", "[entry]")
+{
+    entry_vm vm;
+    stand_in_target a(vm.loop, "ta",
+        [](const http_request&) -> scripted_reply {
+            return {"", false, false, true};
+        });
+    vm.pool.put(a.record("s", "north"));
+    vm.adopt(1, {entry_vm::make_route("q", {"s"}, false, true)});
+    test_caller caller(vm.loop, vm.caller_address());
+    caller.send(get("/q/1", "r1"));
+    caller.run_until([&] { return a.received.size() == 1; });
+    caller.close();
+    caller.run_until([&] { return a.closed_by_peer == 1; });
+    CHECK(vm.counters.read()[counter::requests_gave_up] == 1);
+}
+
+// Guards against a request that another process at the address runs.
+TEST_CASE("a target that says that it is another one gets no more", "[entry]")
+{
+    entry_vm vm;
+    stand_in_target a(vm.loop, "ta",
+        [](const http_request&) -> scripted_reply
+        { return {http_text(421, "X-Instance-Id: other\r\n", "")}; });
+    stand_in_target b(vm.loop, "tb",
+        [](const http_request& r) { return good(r, "pb", "ok"); });
+    vm.pool.put(a.record("s", "north"));
+    vm.pool.put(b.record("s", "far"));
+    vm.adopt(1, {entry_vm::make_route("w", {"s"}, false, false)});
+    test_caller caller(vm.loop, vm.caller_address());
+    for (int i = 0; i < 3; ++i)
+    {
+        caller.send(post("/w/1", "r" + std::to_string(i), "x"));
+        CHECK(caller.reply().status == 200);
+    }
+    CHECK(a.received.size() == 1);
+}
+
+// Guards against a 404 from a VM that knows no desired state yet.
+TEST_CASE("a VM without a desired state refuses with 503", "[entry]")
+{
+    entry_vm vm;
+    test_caller caller(vm.loop, vm.caller_address());
+    caller.send(get("/q/1", "r1"));
+    CHECK(caller.reply().status == 503);
+    vm.adopt(1, {entry_vm::make_route("q", {"s"}, false, true)});
+    caller.send(get("/other/1", "r2"));
+    CHECK(caller.reply().status == 404);
+}
+
+// Guards against a version that takes effect backwards.
+TEST_CASE("an older desired state is not adopted", "[entry]")
+{
+    entry_vm vm;
+    vm.adopt(7, {entry_vm::make_route("q", {"s"}, false, true)});
+    vm.adopt(4, {});
+    CHECK(vm.server.state()->version == 7);
+    CHECK(vm.server.state()->routes.size() == 1);
+}
+
+// Guards against request smuggling by two statements of the body's length.
+TEST_CASE("ambiguous framing is refused and the connection closed", "[entry]")
+{
+    const std::string head = "POST /w/1 HTTP/1.1\r\nHost: h.example\r\n"
+                             "X-Request-Id: r1\r\n";
+    const std::string attack = "0\r\n\r\nGET /w/2 HTTP/1.1\r\n\r\n";
+    for (const std::string framing :
+        {"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n",
+            "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n",
+            "Content-Length: 4\r\nContent-Length: 5\r\n\r\n",
+            "Transfer-Encoding: xchunked\r\n\r\n",
+            "Transfer-Encoding: chunked, identity\r\n\r\n"})
+    {
+        INFO(framing);
+        entry_vm vm;
+        stand_in_target a(vm.loop, "ta",
+            [](const http_request& r) { return good(r, "p", "x"); });
+        vm.pool.put(a.record("s", "north"));
+        vm.adopt(1, {entry_vm::make_route("w", {"s"}, false, false)});
+        test_caller caller(vm.loop, vm.caller_address());
+        caller.send(head + framing + attack);
+        CHECK(caller.reply().status == 400);
+        caller.run_until([&] { return caller.closed; });
+        CHECK(a.received.empty());
+    }
+}
+
+// Guards against a stop that cuts a request or leaves a connection open.
+TEST_CASE("a stop answers running requests and then ends", "[entry]")
+{
+    entry_vm vm;
+    stand_in_target a(vm.loop, "ta",
+        [](const http_request& r)
+        {
+            scripted_reply out = good(r, "p", "done");
+            out.wait = 100ms;
+            return out;
+        });
+    vm.pool.put(a.record("s", "north"));
+    vm.adopt(1, {entry_vm::make_route("q", {"s"}, false, true)});
+    test_caller busy(vm.loop, vm.caller_address());
+    test_caller idle(vm.loop, vm.caller_address());
+    busy.send(get("/q/1", "r1"));
+    busy.run_until([&] { return a.received.size() == 1; });
+    bool ended = false;
+    vm.server.stop([&] { ended = true; });
+    test_caller prober(vm.loop, vm.server.addresses().at(1));
+    prober.send("GET /v1/ready HTTP/1.1\r\nHost: h\r\n\r\n");
+    CHECK(prober.reply().status == 503);
+    const http_reply reply = busy.reply();
+    CHECK(reply.body == "done");
+    CHECK(!reply.keep_alive);
+    idle.run_until([&] { return idle.closed; });
+    prober.close();
+    idle.run_until([&] { return ended; });
+}
+
+// Guards against a body that is changed or cut on its way.
+TEST_CASE("bodies pass unchanged in both directions", "[entry]")
+{
+    entry_vm vm;
+    stand_in_target a(vm.loop, "ta",
+        [](const http_request& r) { return good(r, "p", r.body); });
+    vm.pool.put(a.record("s", "north"));
+    vm.adopt(1, {entry_vm::make_route("w", {"s"}, false, false)});
+    test_caller caller(vm.loop, vm.caller_address());
+    std::string body;
+    for (int i = 0; i < 200000; ++i)
+    {
+        body += static_cast<char>(i * 31);
+    }
+    caller.send(post("/w/1", "r1", body));
+    CHECK(caller.reply().body == body);
+    caller.send("POST /w/1?a=b HTTP/1.1\r\nHost: h.example\r\n"
+                "X-Request-Id: r2\r\nTransfer-Encoding: chunked\r\n\r\n"
+                "5\r\nhello\r\n0\r\n\r\n");
+    CHECK(caller.reply().body == "hello");
+    CHECK(a.received.at(1).path == "/w/1?a=b");
+}
