Let three relays a zone follow the store and the other VMs follow them

Change: a VM registers, reads the list of VMs, and follows the store only if it is one of three relays of its zone (rendezvous hash) or fewer than two of them are sound; the others poll all three by HTTP with CBOR. Views merge by the revision of each object.

--- a/include/bramleymux/stats.hpp
+++ b/include/bramleymux/stats.hpp
@@ -50,6 +50,7 @@
     desired_state_version, ///< in force on this VM
     desired_state_age_ms,  ///< since the source was last heard
     known_targets,         ///< registered, as this VM knows
+    follows_store,         ///< 1 while this VM follows the store itself
     count
 };
 
@@ -65,7 +66,7 @@
     "lease_held", "target_connections", "health_probes", "sub_requests_shed",
     "extra_load_refused", "requests_late", "requests_gave_up",
     "log_lines_dropped", "desired_state_version", "desired_state_age_ms",
-    "known_targets"};
+    "known_targets", "follows_store"};
 
 /// Values of every counter at one moment.
 struct stats
--- a/platform/store_channel.cpp
+++ b/src/call_channel.cpp
@@ -1,15 +1,15 @@
-#include "store_channel.hpp"
+#include "call_channel.hpp"
 
 #include "stream_socket.hpp"
 
-namespace bramleymux::platform
+namespace bramleymux
 {
 
 namespace
 {
 
 target_reply
-read_store_reply(http_reply&& reply)
+read_reply(http_reply&& reply)
 {
     target_reply out;
     out.status = reply.status;
@@ -19,12 +19,12 @@
 }
 
 const entry_wire&
-store_wire()
+call_wire()
 {
     static const entry_wire functions = []
     {
         entry_wire out{};
-        out.read_reply = read_store_reply;
+        out.read_reply = read_reply;
         return out;
     }();
     return functions;
@@ -32,13 +32,13 @@
 
 } // namespace
 
-store_channel::store_channel(boost::asio::io_context& loop,
-    const std::string& address, metrics& counters)
-    : loop_(loop), address_(address), metrics_(counters), timer_(loop)
+call_channel::call_channel(
+    boost::asio::io_context& loop, const std::string& address)
+    : loop_(loop), address_(address), timer_(loop)
 {
 }
 
-store_channel::~store_channel()
+call_channel::~call_channel()
 {
     *alive_ = false;
     if (link_)
@@ -48,7 +48,7 @@
 }
 
 void
-store_channel::call(const std::string& method, const std::string& path,
+call_channel::call(const std::string& method, const std::string& path,
     const std::string& body, duration timeout, reply_handler handler)
 {
     request_ = method + " " + path + " HTTP/1.1\r\nHost: " + address_ + "\r\n";
@@ -60,7 +60,6 @@
     request_ += "\r\n" + body;
     handler_ = std::move(handler);
     ++call_;
-    metrics_.add(counter::platform_calls);
     timer_.expires_after(timeout);
     timer_.async_wait(
         [this, alive = alive_, call = call_](boost::system::error_code error)
@@ -75,7 +74,7 @@
         send();
         return;
     }
-    link_ = std::make_shared<target_link>(loop_, store_wire());
+    link_ = std::make_shared<target_link>(loop_, call_wire());
     link_->open(*parse_endpoint(address_),
         [this, alive = alive_, call = call_](bool opened)
         {
@@ -95,7 +94,18 @@
 }
 
 void
-store_channel::send()
+call_channel::cancel()
+{
+    handler_ = nullptr;
+    timer_.cancel();
+    if (link_)
+    {
+        link_->close();
+    }
+}
+
+void
+call_channel::send()
 {
     link_->exchange(std::move(request_), {}, false,
         [this, alive = alive_, call = call_](link_result&& result)
@@ -103,22 +113,21 @@
             if (*alive && call == call_ && handler_)
             {
                 finish(result.outcome == link_outcome::reply
-                           ? store_reply{result.reply.status,
+                           ? call_reply{result.reply.status,
                                  std::move(result.reply.body)}
-                           : store_reply{});
+                           : call_reply{});
             }
         });
 }
 
 void
-store_channel::finish(store_reply&& reply)
+call_channel::finish(call_reply&& reply)
 {
     const reply_handler handler = std::move(handler_);
     handler_ = nullptr;
     timer_.cancel();
     if (reply.status == 0)
     {
-        metrics_.add(counter::platform_failures);
         // An answer that comes later must not meet the next call.
         const auto link = std::move(link_);
         link_ = nullptr;
@@ -127,4 +136,4 @@
     handler(std::move(reply));
 }
 
-} // namespace bramleymux::platform
+} // namespace bramleymux
--- a/platform/store_channel.hpp
+++ b/src/call_channel.hpp
@@ -1,7 +1,5 @@
 #pragma once
 
-#include "metrics.hpp"
-#include "store_objects.hpp"
 #include "target_link.hpp"
 
 #include <boost/asio/steady_timer.hpp>
@@ -10,45 +8,53 @@
 #include <memory>
 #include <string>
 
-/// Calls to the platform's store.
-namespace bramleymux::platform
+/// Calls to another process, by HTTP.
+namespace bramleymux
 {
 
-struct store_reply
+struct call_reply
 {
     int status = 0; ///< 0 = no answer; the call may have been executed
     std::string body;
 };
 
-/// One connection to the store, with one call at a time. It is opened anew
+/// One connection to a server, with one call at a time. It is opened anew
 /// after a failure or a call without an answer.
-class store_channel
+class call_channel
 {
 public:
-    using reply_handler = std::function<void(store_reply&&)>;
+    using reply_handler = std::function<void(call_reply&&)>;
 
-    store_channel(boost::asio::io_context& loop, const std::string& address,
-        metrics& counters);
-    ~store_channel();
+    call_channel(boost::asio::io_context& loop, const std::string& address);
+    ~call_channel();
 
-    store_channel(const store_channel&) = delete;
-    store_channel&
-    operator=(const store_channel&) = delete;
+    call_channel(const call_channel&) = delete;
+    call_channel&
+    operator=(const call_channel&) = delete;
 
     /// `handler` is called later, unless the channel is destroyed before.
     void
     call(const std::string& method, const std::string& path,
         const std::string& body, duration timeout, reply_handler handler);
 
+    /// Drops the call in progress; its handler is not called.
+    void
+    cancel();
+
+    const std::string&
+    address() const
+    {
+        return address_;
+    }
+
 private:
     void
     send();
     void
-    finish(store_reply&& reply);
+    finish(call_reply&& reply);
 
     boost::asio::io_context& loop_;
     std::string address_;
-    metrics& metrics_;
     boost::asio::steady_timer timer_;
     std::shared_ptr<target_link> link_;
     std::string request_;
@@ -57,4 +63,4 @@
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
-} // namespace bramleymux::platform
+} // namespace bramleymux
--- /dev/null
+++ b/src/change_hub.cpp
@@ -0,0 +1,280 @@
+#include "change_hub.hpp"
+
+#include "config.hpp"
+
+#include <algorithm>
+#include <charconv>
+
+namespace bramleymux
+{
+
+namespace
+{
+
+constexpr int status_ok = 200;
+constexpr int status_unavailable = 503;
+
+/// Value of "name=N" in a query; 0 when absent.
+std::uint64_t
+parameter(const std::string& path, std::string_view name)
+{
+    const std::string key = std::string(name) + "=";
+    const std::size_t at = path.find(key);
+    std::uint64_t value = 0;
+    if (at != std::string::npos)
+    {
+        std::from_chars(
+            path.data() + at + key.size(), path.data() + path.size(), value);
+    }
+    return value;
+}
+
+} // namespace
+
+/// A relay that this VM follows.
+struct change_hub::relay
+{
+    relay(boost::asio::io_context& loop, const std::string& address)
+        : channel(loop, address), timer(loop)
+    {
+    }
+
+    call_channel channel;
+    boost::asio::steady_timer timer;
+    std::uint64_t epoch = 0;
+    std::uint64_t sequence = 0;
+    std::uint32_t failures = 0; ///< since the last delta
+
+    bool
+    is_sound() const
+    {
+        return failures < config::relay_max_failures;
+    }
+};
+
+change_hub::change_hub(boost::asio::io_context& loop, metrics& counters,
+    decision_log& log, std::string vm_id, std::string zone,
+    std::set<std::string> kinds, hub_handlers handlers)
+    : loop_(loop), metrics_(counters), log_(log), vm_id_(std::move(vm_id)),
+      zone_(std::move(zone)), handlers_(std::move(handlers)),
+      unknown_kinds_(std::move(kinds))
+{
+    // Never 0, which stands for a follower that knows nothing.
+    view_.epoch = std::random_device{}() | 1U;
+}
+
+change_hub::~change_hub() = default;
+
+void
+change_hub::publish(const std::vector<store_change>& changes)
+{
+    for (const store_change& change : changes)
+    {
+        handlers_.on_change(change);
+    }
+    if (!changes.empty())
+    {
+        changed_at_ = monotonic_clock::now();
+    }
+}
+
+void
+change_hub::take_list(const std::string& kind,
+    const std::vector<store_change>& objects, std::uint64_t revision)
+{
+    publish(
+        replace_kind(view_, kind, objects, revision, monotonic_clock::now()));
+    unknown_kinds_.erase(kind);
+}
+
+void
+change_hub::take_change(const store_change& change)
+{
+    if (apply(view_, change, monotonic_clock::now()))
+    {
+        publish({change});
+    }
+}
+
+void
+change_hub::note_store(bool answered)
+{
+    store_failed_ = !answered;
+    if (answered)
+    {
+        store_heard_at_ = monotonic_clock::now();
+        heard_at_ = store_heard_at_;
+    }
+}
+
+/// Whether what this VM knows comes from the store without delay.
+bool
+change_hub::is_current(monotonic_time now) const
+{
+    return follows_store_ && !store_failed_ && !stopping_ && is_informed() &&
+           now - store_heard_at_ < config::relay_max_age;
+}
+
+void
+change_hub::set_vms(const std::vector<registered_vm>& vms)
+{
+    relay_plan plan = plan_relays(vms, vm_id_, zone_);
+    if (plan.relays != plan_.relays)
+    {
+        std::vector<std::unique_ptr<relay>> kept;
+        for (const std::string& address : plan.relays)
+        {
+            const auto found = std::find_if(relays_.begin(), relays_.end(),
+                [&](const auto& r)
+                { return r && r->channel.address() == address; });
+            const bool known = found != relays_.end();
+            kept.push_back(known ? std::move(*found)
+                                 : std::make_unique<relay>(loop_, address));
+            if (!known)
+            {
+                poll(*kept.back());
+            }
+        }
+        relays_ = std::move(kept);
+    }
+    plan_ = std::move(plan);
+    decide();
+}
+
+void
+change_hub::poll(relay& r)
+{
+    r.channel.call("GET",
+        std::string(changes_path) + "?epoch=" + std::to_string(r.epoch) +
+            "&after=" + std::to_string(r.sequence),
+        {}, config::relay_poll_wait + config::relay_poll_margin,
+        [this, &r](call_reply&& reply) { on_poll(r, std::move(reply)); });
+}
+
+void
+change_hub::on_poll(relay& r, call_reply&& reply)
+{
+    const auto delta =
+        reply.status == status_ok ? decode_delta(reply.body) : std::nullopt;
+    const bool was_sound = r.is_sound();
+    r.failures = delta ? 0 : r.failures + 1;
+    if (delta)
+    {
+        r.epoch = delta->epoch;
+        r.sequence = delta->sequence;
+        heard_at_ = monotonic_clock::now();
+        publish(merge_delta(view_, *delta, monotonic_clock::now()));
+        for (const auto& [kind, revision] : delta->revisions)
+        {
+            unknown_kinds_.erase(kind);
+        }
+    }
+    if (r.is_sound() != was_sound)
+    {
+        decide();
+    }
+    r.timer.expires_after(
+        delta ? duration::zero() : duration(config::relay_retry));
+    r.timer.async_wait(
+        [this, &r](boost::system::error_code error)
+        {
+            if (!error)
+            {
+                poll(r);
+            }
+        });
+}
+
+/// Follows the store itself as a relay, or with too few sound relays, and then
+/// for a while, so that an unsteady relay causes few calls.
+void
+change_hub::decide()
+{
+    const monotonic_time now = monotonic_clock::now();
+    const auto sound = static_cast<std::size_t>(std::count_if(relays_.begin(),
+        relays_.end(), [](const auto& r) { return r->is_sound(); }));
+    const bool needed = plan_.is_relay || sound < config::min_sound_relays;
+    if (needed)
+    {
+        follow_until_ = now + config::follow_store_min;
+    }
+    const bool follow = needed || now < follow_until_;
+    if (follow == follows_store_)
+    {
+        return;
+    }
+    follows_store_ = follow;
+    if (log_.admits(event::store_followed, now))
+    {
+        log_.write(event::store_followed,
+            {{"follow", follow}, {"relay", plan_.is_relay},
+                {"sound_relays", sound}, {"relays", relays_.size()}});
+    }
+    handlers_.follow_store(follow);
+}
+
+void
+change_hub::serve_poll(const std::string& path, poll_reply reply)
+{
+    const monotonic_time now = monotonic_clock::now();
+    if (!is_current(now))
+    {
+        http_reply out;
+        out.status = status_unavailable;
+        reply(std::move(out));
+        return;
+    }
+    polls_.push_back({parameter(path, "epoch"), parameter(path, "after"),
+        now + config::relay_poll_wait, std::move(reply)});
+    answer_polls(now);
+}
+
+/// Changes that come in quick succession go out in one reply.
+void
+change_hub::answer_polls(monotonic_time now)
+{
+    const bool settled = now - changed_at_ >= config::relay_settle;
+    const bool current = is_current(now);
+    for (auto it = polls_.begin(); it != polls_.end();)
+    {
+        const bool news =
+            it->epoch != view_.epoch || (settled && it->after < view_.sequence);
+        if (current && !news && now < it->until)
+        {
+            ++it;
+            continue;
+        }
+        http_reply out;
+        out.status = current ? status_ok : status_unavailable;
+        if (current)
+        {
+            out.fields.push_back({"Content-Type", "application/cbor"});
+            out.body = encode_delta(delta_since(view_, it->epoch, it->after));
+        }
+        const poll_reply reply = std::move(it->reply);
+        it = polls_.erase(it);
+        reply(std::move(out));
+    }
+}
+
+void
+change_hub::stop()
+{
+    stopping_ = true;
+    answer_polls(monotonic_clock::now());
+}
+
+void
+change_hub::tick()
+{
+    const monotonic_time now = monotonic_clock::now();
+    answer_polls(now);
+    forget_deletions(view_, now);
+    if (follows_store_ && !plan_.is_relay && now >= follow_until_)
+    {
+        decide();
+    }
+    metrics_.set(counter::follows_store, follows_store_ ? 1 : 0);
+}
+
+} // namespace bramleymux
--- a/src/config.hpp
+++ b/src/config.hpp
@@ -342,6 +342,23 @@
 inline constexpr double log_lines_burst = 100.0;
 inline constexpr std::size_t max_pending_log_bytes = 256 * kib;
 
+// Before a desired state says otherwise.
+inline constexpr std::size_t default_header_bytes = 16 * kib;
+inline constexpr auto default_header_timeout = 5s;
+inline constexpr auto default_idle_timeout = 30s;
+
+// Changes of the store that VMs pass on.
+inline constexpr std::size_t change_relays_per_zone = 3;
+inline constexpr std::size_t min_sound_relays = 2;
+inline constexpr auto relay_poll_wait = 2s;
+inline constexpr auto relay_poll_margin = 600ms;
+inline constexpr auto relay_retry = 400ms;
+inline constexpr std::uint32_t relay_max_failures = 3; // in a row
+inline constexpr auto relay_settle = 30ms;
+inline constexpr auto relay_max_age = 6s; // above the wait of a watch
+inline constexpr auto follow_store_min = 8s;
+inline constexpr auto deletion_memory = 60s;
+
 // Requests that wait for a target of one service with room.
 inline constexpr std::size_t max_waiting_per_service = 256;
 // A VM that hears no target of another zone for this long, although it probes
--- a/src/entry_server.cpp
+++ b/src/entry_server.cpp
@@ -33,6 +33,7 @@
     {
         callers,
         local, ///< readiness and metrics
+        peers,
         count
     };
 
@@ -51,7 +52,7 @@
 
 bool
 entry_server::listen(const std::string& callers, const std::string& readiness,
-    const std::string& metrics)
+    const std::string& metrics, const std::string& peers)
 {
     const auto add = [&](const std::string& address, listener::kind kind)
     {
@@ -79,7 +80,16 @@
     };
     return add(callers, listener::kind::callers) &&
            add(readiness, listener::kind::local) &&
-           add(metrics, listener::kind::local);
+           add(metrics, listener::kind::local) &&
+           add(peers, listener::kind::peers);
+}
+
+void
+entry_server::set_peer_handler(std::function<void(
+        const std::string& path, std::function<void(http_reply&&)>)>
+        handler)
+{
+    peer_handler_ = std::move(handler);
 }
 
 std::vector<std::string>
@@ -116,9 +126,24 @@
 void
 entry_server::on_accept(listener& from, tcp::socket&& socket)
 {
-    const bool local = from.role == listener::kind::local;
     request_handler handler;
-    if (local)
+    if (from.role == listener::kind::peers)
+    {
+        handler = [this](http_request&& request,
+                      const std::shared_ptr<caller_connection>& connection)
+        {
+            peer_handler_(request.path,
+                [weak = std::weak_ptr<caller_connection>(connection)](
+                    http_reply&& r)
+                {
+                    if (const auto c = weak.lock())
+                    {
+                        c->answer(std::move(r));
+                    }
+                });
+        };
+    }
+    else if (from.role == listener::kind::local)
     {
         handler = [this](http_request&& request,
                       const std::shared_ptr<caller_connection>& connection)
--- a/src/entry_server.hpp
+++ b/src/entry_server.hpp
@@ -31,7 +31,13 @@
     /// False when an address cannot be bound.
     bool
     listen(const std::string& callers, const std::string& readiness,
-        const std::string& metrics);
+        const std::string& metrics, const std::string& peers);
+
+    /// Handles requests of other VMs; it answers later.
+    void
+    set_peer_handler(std::function<void(
+            const std::string& path, std::function<void(http_reply&&)>)>
+            handler);
 
     /// Bound addresses in the order of `listen`.
     std::vector<std::string>
@@ -97,6 +103,8 @@
     bool stopping_ = false;
     monotonic_time stop_began_{};
     std::function<void()> stopped_;
+    std::function<void(const std::string&, std::function<void(http_reply&&)>)>
+        peer_handler_;
 };
 
 } // namespace bramleymux
--- a/src/entry_settings.cpp
+++ b/src/entry_settings.cpp
@@ -123,6 +123,7 @@
     out.caller_listen = keys.address("listen/caller", true);
     out.readiness_listen = keys.address("listen/readiness", true);
     out.metrics_listen = keys.address("listen/metrics", false);
+    out.peer_listen = keys.address("listen/peer", true);
     out.store_address = keys.address("store/address", true);
     out.extra_load.ratio =
         keys.number("extra_load/ratio", out.extra_load.ratio, 0, 10);
--- a/src/entry_settings.hpp
+++ b/src/entry_settings.hpp
@@ -19,6 +19,7 @@
     std::string caller_listen;    ///< IP:port
     std::string readiness_listen; ///< IP:port
     std::string metrics_listen;   ///< IP:port; empty = none
+    std::string peer_listen;      ///< IP:port for other VMs
     std::string store_address;    ///< IP:port of the platform's store
 
     extra_load_limits extra_load;
--- a/src/fleet_view.hpp
+++ b/src/fleet_view.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "config.hpp"
+
 #include <bramleymux/types.hpp>
 
 #include <cstdint>
@@ -46,10 +48,10 @@
 /// Bounds on what callers send and how long they may take.
 struct caller_limits
 {
-    std::size_t max_header_bytes = 16 * 1024;
-    std::size_t max_body_bytes = 256 * 1024;
-    duration header_timeout = std::chrono::seconds(5);
-    duration idle_timeout = std::chrono::seconds(30);
+    std::size_t max_header_bytes = config::default_header_bytes;
+    std::size_t max_body_bytes = config::max_request_body_bytes;
+    duration header_timeout = config::default_header_timeout;
+    duration idle_timeout = config::default_idle_timeout;
 };
 
 /// One version of the operators' desired state. A query pins one for its life.
--- a/src/log_events.cpp
+++ b/src/log_events.cpp
@@ -96,6 +96,8 @@
             "A caller closed its connection before its answer."},
         {1607, level::warning, "caller_input_refused",
             "A caller's bytes were refused."},
+        {1309, level::info, "store_followed",
+            "This VM follows the store itself, or only its relays."},
     }};
 
 spdlog::level::level_enum
--- a/src/log_events.hpp
+++ b/src/log_events.hpp
@@ -61,6 +61,7 @@
     sub_request_repeated,
     caller_left,
     caller_input_refused,
+    store_followed,
     count
 };
 
--- a/src/metrics.cpp
+++ b/src/metrics.cpp
@@ -47,7 +47,8 @@
     const bool gauge =
         c == counter::table_version || c == counter::live_vms ||
         c == counter::lease_held || c == counter::desired_state_version ||
-        c == counter::desired_state_age_ms || c == counter::known_targets;
+        c == counter::desired_state_age_ms || c == counter::known_targets ||
+        c == counter::follows_store;
     prometheus::MetricFamily family;
     family.name = "bramleymux_" + name + (gauge ? "" : "_total");
     family.help = name;
--- a/src/target_pool.cpp
+++ b/src/target_pool.cpp
@@ -198,18 +198,6 @@
     }
 }
 
-void
-target_pool::keep_only(const std::vector<std::string>& ids)
-{
-    for (const auto& [id, e] : entries_)
-    {
-        if (std::find(ids.begin(), ids.end(), id) == ids.end())
-        {
-            remove(id);
-        }
-    }
-}
-
 void
 target_pool::set_zones_out(std::vector<std::string> zones)
 {
--- a/src/target_pool.hpp
+++ b/src/target_pool.hpp
@@ -64,10 +64,6 @@
     void
     remove(const std::string& id);
 
-    /// Removes every registration that is not in `ids`.
-    void
-    keep_only(const std::vector<std::string>& ids);
-
     void
     set_zones_out(std::vector<std::string> zones);
 
--- a/tests/entry_fixture.hpp
+++ b/tests/entry_fixture.hpp
@@ -302,7 +302,7 @@
           server(context, {200ms, 400ms})
     {
         pool.set_vms(1);
-        REQUIRE(server.listen("127.0.0.1:0", "127.0.0.1:0", ""));
+        REQUIRE(server.listen("127.0.0.1:0", "127.0.0.1:0", "", ""));
         tick();
     }
 
--- /dev/null
+++ b/tests/test_change_hub.cpp
@@ -0,0 +1,283 @@
+#include "change_hub.hpp"
+#include "entry_fixture.hpp"
+#include "property.hpp"
+
+#include <fcntl.h>
+
+using namespace bramleymux;
+using namespace bramleymux::fixture;
+
+namespace
+{
+
+const monotonic_time start{std::chrono::hours(1)};
+
+store_change
+object(const std::string& name, std::uint64_t revision, bool deleted = false)
+{
+    return {"servers", name, revision, deleted,
+        deleted ? "" : name + "@" + std::to_string(revision)};
+}
+
+/// Names and revisions of the objects that exist.
+std::map<std::string, std::uint64_t>
+living(const change_view& view)
+{
+    std::map<std::string, std::uint64_t> out;
+    for (const auto& [key, item] : view.items)
+    {
+        if (!item.object.deleted)
+        {
+            out[key.second] = item.object.revision;
+        }
+    }
+    return out;
+}
+
+} // namespace
+
+// Guards against old news that undo newer ones when several relays report.
+TEST_CASE("older changes and repeated ones are ignored", "[entry]")
+{
+    change_view view;
+    CHECK(apply(view, object("a", 5), start));
+    CHECK(!apply(view, object("a", 5), start));
+    CHECK(!apply(view, object("a", 4), start));
+    CHECK(!apply(view, object("a", 4, true), start));
+    CHECK(apply(view, object("a", 5, true), start));
+    CHECK(!apply(view, object("a", 5), start));
+    CHECK(apply(view, object("a", 6), start));
+    CHECK(living(view) == std::map<std::string, std::uint64_t>{{"a", 6}});
+}
+
+// Guards against a deletion that a list shows and nobody learns.
+TEST_CASE("a list deletes what it lacks, but not what is newer", "[entry]")
+{
+    change_view view;
+    apply(view, object("a", 5), start);
+    apply(view, object("late", 12), start);
+    const auto changes =
+        replace_kind(view, "servers", {object("b", 7)}, 10, start);
+    CHECK(changes.size() == 2);
+    CHECK(living(view) ==
+          std::map<std::string, std::uint64_t>{{"b", 7}, {"late", 12}});
+}
+
+// Guards against a follower that differs from its relays, whatever the order
+// of changes, deltas, forgotten deletions and restarts of a relay.
+TEST_CASE("a follower of two relays ends with the store's objects", "[entry]")
+{
+    const auto property = [](const std::vector<std::uint8_t>& steps)
+    {
+        std::array<change_view, 2> relays;
+        std::array<std::pair<std::uint64_t, std::uint64_t>, 2> cursors{};
+        relays[0].epoch = 1;
+        relays[1].epoch = 2;
+        std::vector<store_change> history;
+        std::map<std::string, std::uint64_t> store;
+        std::array<std::size_t, 2> read{};
+        change_view follower;
+        monotonic_time now = start;
+        const auto catch_up = [&](std::size_t r, std::size_t end)
+        {
+            for (; read[r] < end; ++read[r])
+            {
+                apply(relays[r], history[read[r]], now);
+                relays[r].revisions["servers"] = history[read[r]].revision;
+            }
+        };
+        const auto follow = [&](std::size_t r)
+        {
+            const auto encoded = encode_delta(
+                delta_since(relays[r], cursors[r].first, cursors[r].second));
+            const auto delta = decode_delta(encoded);
+            RC_ASSERT(delta.has_value());
+            merge_delta(follower, *delta, now);
+            cursors[r] = {delta->epoch, delta->sequence};
+        };
+        for (const std::uint8_t step : steps)
+        {
+            now += 5s;
+            const std::string name(1, static_cast<char>('a' + step % 5));
+            const std::size_t r = step / 8 % 2;
+            switch (step / 32)
+            {
+            case 0:
+            case 1:
+            case 2:
+                history.push_back(object(name, history.size() + 1));
+                store[name] = history.back().revision;
+                break;
+            case 3:
+                if (store.count(name) != 0)
+                {
+                    history.push_back(object(name, store[name], true));
+                    store.erase(name);
+                }
+                break;
+            case 4:
+                catch_up(r, history.size());
+                break;
+            case 5:
+                follow(r);
+                break;
+            case 6:
+                forget_deletions(relays[r], now);
+                break;
+            default:
+                relays[r] = change_view{};
+                relays[r].epoch = 10 + history.size();
+                read[r] = 0;
+                catch_up(r, history.size());
+                break;
+            }
+        }
+        for (std::size_t r = 0; r < relays.size(); ++r)
+        {
+            catch_up(r, history.size());
+            follow(r);
+        }
+        RC_ASSERT(living(relays[0]) == store);
+        RC_ASSERT(living(follower) == store);
+    };
+    CHECK(test::holds(21, 300, property));
+}
+
+// Guards against bytes of a peer that end the process.
+TEST_CASE("bytes that are no delta are refused", "[entry]")
+{
+    CHECK(!decode_delta("").has_value());
+    CHECK(!decode_delta("\xff\xff").has_value());
+    CHECK(!decode_delta("\xa1\x61x\x01").has_value());
+    const auto property = [](const std::string& bytes)
+    { static_cast<void>(decode_delta(bytes)); };
+    CHECK(test::holds(22, 300, property));
+}
+
+// Guards against VMs of a zone that choose different relays, or too few.
+TEST_CASE("VMs of a zone agree on their relays", "[entry]")
+{
+    std::vector<registered_vm> vms;
+    for (int i = 0; i < 20; ++i)
+    {
+        const std::string id = "vm-" + std::to_string(i);
+        vms.push_back({id, i % 2 == 0 ? "north" : "south", id + ":1"});
+    }
+    std::set<std::vector<std::string>> lists;
+    int relays = 0;
+    for (const registered_vm& vm : vms)
+    {
+        if (vm.zone == "north")
+        {
+            const relay_plan plan = plan_relays(vms, vm.id, vm.zone);
+            relays += plan.is_relay ? 1 : 0;
+            if (!plan.is_relay)
+            {
+                lists.insert(plan.relays);
+            }
+        }
+    }
+    CHECK(relays == 3);
+    CHECK(lists.size() == 1);
+    CHECK(lists.begin()->size() == 3);
+    CHECK(plan_relays({}, "vm-0", "north").is_relay);
+}
+
+namespace
+{
+
+/// A hub whose changes are counted, with a server for its followers.
+struct hub_vm
+{
+    hub_vm(boost::asio::io_context& loop, entry_vm& parts, std::string id)
+        : server(parts.context, {200ms, 400ms}),
+          hub(loop, parts.counters, parts.log, std::move(id), "north",
+              {"servers"},
+              {[this](const store_change& c)
+                  { names[c.name] = c.deleted ? 0 : c.revision; },
+                  [this](bool follow) { follows = follow; }})
+    {
+        REQUIRE(server.listen("127.0.0.1:0", "", "", "127.0.0.1:0"));
+        server.set_peer_handler(
+            [this](const std::string& path, change_hub::poll_reply reply)
+            { hub.serve_poll(path, std::move(reply)); });
+    }
+
+    registered_vm
+    registration(const std::string& id) const
+    {
+        return {id, "north", server.addresses().back()};
+    }
+
+    std::map<std::string, std::uint64_t> names;
+    bool follows = false;
+    entry_server server;
+    change_hub hub;
+};
+
+} // namespace
+
+// Guards against a VM that misses changes of the store because a relay is cut
+// off, and against one that follows nobody when its relays are gone.
+TEST_CASE("a follower learns from sound relays, else from the store", "[entry]")
+{
+    entry_vm parts;
+    std::vector<std::unique_ptr<hub_vm>> relays;
+    std::vector<registered_vm> vms;
+    for (int i = 0; i < 3; ++i)
+    {
+        relays.push_back(std::make_unique<hub_vm>(
+            parts.loop, parts, "r" + std::to_string(i)));
+        vms.push_back(relays.back()->registration("r" + std::to_string(i)));
+    }
+    // A follower that ranks behind the relays.
+    std::string id;
+    for (int i = 0; id.empty(); ++i)
+    {
+        const std::string candidate = "f" + std::to_string(i);
+        std::vector<registered_vm> all = vms;
+        all.push_back({candidate, "north", "127.0.0.1:1"});
+        if (!plan_relays(all, candidate, "north").is_relay)
+        {
+            id = candidate;
+        }
+    }
+    hub_vm follower(parts.loop, parts, id);
+    vms.push_back(follower.registration(id));
+    for (const auto& relay : relays)
+    {
+        relay->hub.set_vms(vms);
+        REQUIRE(relay->follows);
+        relay->hub.note_store(true);
+        relay->hub.take_list("servers", {object("a", 1)}, 1);
+    }
+    follower.hub.set_vms(vms);
+    CHECK(!follower.follows);
+    const auto run_until = [&](const std::function<bool()>& done)
+    {
+        test_caller runner(parts.loop, parts.caller_address());
+        runner.run_until(
+            [&]
+            {
+                for (const auto& relay : relays)
+                {
+                    relay->hub.tick();
+                }
+                follower.hub.tick();
+                return done();
+            });
+    };
+    run_until([&] { return follower.names["a"] == 1; });
+    CHECK(follower.hub.is_informed());
+
+    // One relay lost the store; the others pass the change on.
+    relays[0]->hub.note_store(false);
+    relays[1]->hub.take_change(object("b", 2));
+    relays[2]->hub.take_change(object("b", 2));
+    run_until([&] { return follower.names["b"] == 2; });
+    CHECK(!follower.follows);
+
+    relays[1]->hub.note_store(false);
+    relays[2]->hub.stop();
+    run_until([&] { return follower.follows; });
+}
--- /dev/null
+++ b/tests/test_platform_adapter.cpp
@@ -0,0 +1,243 @@
+#include "entry_fixture.hpp"
+#include "platform_source.hpp"
+#include "store_objects.hpp"
+
+using namespace bramleymux;
+using namespace bramleymux::fixture;
+
+namespace
+{
+
+const std::string target_spec =
+    R"({"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1",)"
+    R"("slots":4,"state":"ready","warmupLeftMs":1500,"sequence":4,)"
+    R"("born":1700000000000})";
+
+std::string
+object_text(
+    const std::string& name, std::uint64_t revision, const std::string& spec)
+{
+    return R"({"meta":{"name":")" + name + R"(","revision":)" +
+           std::to_string(revision) + R"(},"spec":)" + spec + "}";
+}
+
+std::string
+config_spec(int version)
+{
+    return R"({"version":)" + std::to_string(version) +
+           R"(,"routes":[{"name":"r","host":"H.example","pathPrefix":"/q/",)"
+           R"("routeType":"safe","timeoutMs":1500,"targetLatencyMs":150,)"
+           R"("service":"s","attempts":2}],"services":[{"name":"s",)"
+           R"("healthPath":"/h","maxConnections":36,"warmupPerS":8.0}],)"
+           R"("limits":{"maxHeaderBytes":4096,"maxBodyBytes":1000,)"
+           R"("headerTimeoutMs":2000,"idleTimeoutMs":9000}})";
+}
+
+scripted_reply
+json_reply(const std::string& body)
+{
+    return {http_text(200, "Content-Type: application/json\r\n", body)};
+}
+
+} // namespace
+
+// Guards against fields that are decoded into the wrong meaning.
+TEST_CASE("a registration is decoded", "[platform]")
+{
+    const auto target = platform::read_target("i-1", target_spec);
+    REQUIRE(target.has_value());
+    CHECK(target->id == "i-1");
+    CHECK(target->service == "s");
+    CHECK(target->slots == 4);
+    CHECK(!target->leaving);
+    CHECK(target->cold_left == 1500ms);
+    CHECK(target->started_ms == 1700000000000);
+}
+
+// Guards against an entry of another writer that names a target to use.
+TEST_CASE("an entry that cannot be read names no target", "[platform]")
+{
+    for (const std::string spec :
+        {"", "[]", "null", "\"x\"", "{}", R"({"service":"s"})",
+            R"({"service":7,"address":"10.0.0.1:80","state":"ready"})",
+            R"({"service":"s","address":"nowhere","state":"ready"})",
+            R"({"service":"s","address":"10.0.0.1:80","state":"resting"})"})
+    {
+        INFO(spec);
+        CHECK(!platform::read_target("i-1", spec).has_value());
+    }
+}
+
+// Guards against a desired state that loses limits, times or kinds of requests.
+TEST_CASE("a desired state is decoded", "[platform]")
+{
+    findings found;
+    const auto state = platform::read_desired_state(config_spec(7), found);
+    REQUIRE(state.has_value());
+    CHECK(found.empty());
+    CHECK(state->version == 7);
+    const route_rule& route = state->routes.at(0);
+    CHECK(route.host == "h.example");
+    CHECK(route.idempotent);
+    CHECK(route.timeout == 1500ms);
+    CHECK(route.target_latency == 150ms);
+    CHECK(route.attempts == 2);
+    CHECK(state->services.at(0).max_connections == 36);
+    CHECK(state->services.at(0).cold_rate == 8.0);
+    CHECK(state->limits.max_body_bytes == 1000);
+    CHECK(state->limits.idle_timeout == 9s);
+}
+
+// Guards against one bad route that takes the others out of force unseen.
+TEST_CASE("routes that cannot be read are reported", "[platform]")
+{
+    findings found;
+    const auto state = platform::read_desired_state(
+        R"({"version":1,"routes":[{"name":"x"},)"
+        R"({"host":"h","pathPrefix":"/a/","timeoutMs":1,)"
+        R"("trafficSplit":[{"service":"a","weight":3},)"
+        R"({"service":"b","weight":1}]}]})",
+        found);
+    REQUIRE(state.has_value());
+    CHECK(state->routes.size() == 1);
+    CHECK(!state->routes[0].idempotent);
+    CHECK(state->routes[0].shares.at(0).weight == 3);
+    REQUIRE(found.size() == 1);
+    CHECK(found[0].place == "routes/0");
+    CHECK(!platform::read_desired_state("{}", found).has_value());
+}
+
+// Guards against headers that are lost, doubled or passed on from one hop.
+TEST_CASE("headers are translated between caller and target", "[platform]")
+{
+    http_request request;
+    request.method = "GET";
+    request.path = "/q/1?x=y";
+    request.fields = {{"Host", "h"}, {"x-request-id", "r1"},
+        {"X-Deadline-Ms", "250"}, {"X-Expect-Instance", "forged"},
+        {"Connection", "keep-alive, X-Hop"}, {"X-Hop", "1"},
+        {"X-Other", "kept"}};
+    const caller_message message =
+        platform::wire().read_request(std::move(request));
+    CHECK(message.id == "r1");
+    CHECK(message.time_left == 250ms);
+    const std::string bytes =
+        platform::wire().write_request(message, "i-1", 200ms);
+    CHECK(bytes == "GET /q/1?x=y HTTP/1.1\r\nHost: h\r\nX-Request-Id: r1\r\n"
+                   "X-Deadline-Ms: 200\r\nX-Expect-Instance: i-1\r\n"
+                   "X-Other: kept\r\n\r\n");
+    http_reply reply;
+    reply.status = 503;
+    reply.fields = {{"X-Not-Executed", "1"}, {"X-Server-Load", "3,2,4"},
+        {"Keep-Alive", "timeout=7"}, {"X-Warmup-Ms", "900"}};
+    const target_reply decoded = platform::wire().read_reply(std::move(reply));
+    CHECK(decoded.not_run);
+    CHECK(decoded.load->waiting == 2);
+    CHECK(decoded.idle_limit == 7s);
+    CHECK(decoded.cold_left == 900ms);
+    CHECK(decoded.forwarded.empty());
+}
+
+namespace
+{
+
+/// A stand-in for the platform's store that answers by kind.
+struct stand_in_store
+{
+    explicit stand_in_store(boost::asio::io_context& loop)
+        : server(loop, "store",
+              [this](const http_request& r) { return answer(r); })
+    {
+    }
+
+    scripted_reply
+    answer(const http_request& request)
+    {
+        const bool watch = request.path.find("watch=") != std::string::npos;
+        if (request.path.find("/config") != std::string::npos)
+        {
+            return watch ? on_watch(request)
+                         : json_reply(R"({"items":[)" + config +
+                                      R"(],"hasMore":false,"at":)" +
+                                      std::to_string(at) + "}");
+        }
+        if (watch)
+        {
+            return {"", false, false, true};
+        }
+        return json_reply(R"({"items":[],"hasMore":false,"at":5})");
+    }
+
+    std::function<scripted_reply(const http_request&)> on_watch =
+        [](const http_request&) -> scripted_reply {
+        return {"", false, false, true};
+    };
+    std::string config = object_text("main", 4, config_spec(4));
+    int at = 4;
+    stand_in_target server;
+};
+
+} // namespace
+
+// Guards against a version that stays unknown because a watch heard nothing
+// while it was written and went on behind it (a VM kept version 4 for 5.3 s).
+TEST_CASE("a watch that was deaf is repeated from its start", "[platform]")
+{
+    entry_vm vm;
+    stand_in_store store(vm.loop);
+    bool heard = false;
+    store.on_watch = [&](const http_request& request) -> scripted_reply
+    {
+        // Deaf: version 7 at revision 6 is skipped, and the watch ends at 9.
+        if (request.path.find("watch=9") != std::string::npos)
+        {
+            scripted_reply out = json_reply(R"({"events":[],"at":9})");
+            out.wait = 5ms;
+            return out;
+        }
+        if (!heard)
+        {
+            heard = true;
+            return json_reply(R"({"events":[],"at":9})");
+        }
+        return json_reply(R"({"events":[{"deleted":false,"object":)" +
+                          object_text("main", 6, config_spec(7)) +
+                          R"(}],"at":9})");
+    };
+    platform::platform_source source(vm.loop, store.server.address(),
+        {"vm-1", "north", "127.0.0.1:1"}, vm.context, vm.server);
+    source.start();
+    test_caller runner(vm.loop, vm.caller_address());
+    runner.run_until(
+        [&]
+        {
+            source.tick();
+            return vm.server.state() != nullptr &&
+                   vm.server.state()->version == 7;
+        });
+}
+
+// Guards against changes that are lost when a watch is cut and its history is
+// dropped.
+TEST_CASE("a list follows a watch that failed", "[platform]")
+{
+    entry_vm vm;
+    stand_in_store store(vm.loop);
+    store.on_watch = [&](const http_request&) -> scripted_reply
+    {
+        store.config = object_text("main", 8, config_spec(9));
+        store.at = 20;
+        return {"", false, true};
+    };
+    platform::platform_source source(vm.loop, store.server.address(),
+        {"vm-1", "north", "127.0.0.1:1"}, vm.context, vm.server);
+    source.start();
+    test_caller runner(vm.loop, vm.caller_address());
+    runner.run_until(
+        [&]
+        {
+            source.tick();
+            return vm.server.state() != nullptr &&
+                   vm.server.state()->version == 9;
+        });
+}
