Stay in the own zone unless a target there is very slow

Cause: bytes between zones were still the stone seller's largest price. Change: a target in another zone costs 7 times as much instead of 3.5.

--- a/src/config.hpp
+++ b/src/config.hpp
@@ -367,7 +367,7 @@
 inline constexpr auto cut_off_after = 800ms;
 
 // Choice of a target.
-inline constexpr double other_zone_factor = 3.5; // above the spread of speeds
+inline constexpr double other_zone_factor = 7.0; // above the spread of speeds
 inline constexpr double choice_jitter = 0.15;
 inline constexpr double stalled_factor = 12.0;
 inline constexpr double cold_factor = 4.0;
