Explain a request from its id; check the settings for changes

Cause: operators had no command for one request's lines, refusals named shards that had room, and a settings file may change without a signal. Change: bramleymux story; refusals name only the shards without room, hedges name the target that was slow; the settings file is checked each 2 s.

--- a/src/config.hpp
+++ b/src/config.hpp
@@ -324,6 +324,7 @@
 inline constexpr auto silent_peer = 3s;
 inline constexpr std::size_t max_reply_header_bytes = 32 * kib;
 inline constexpr int listen_backlog = 512;
+inline constexpr auto settings_check_period = 2s;
 // Before the process is killed at the end of its grace time.
 inline constexpr auto exit_margin = 500ms;
 inline constexpr std::size_t socket_read_bytes = 16 * kib;
--- a/src/entry_query.cpp
+++ b/src/entry_query.cpp
@@ -214,7 +214,10 @@
         reachable ? problem_code::overloaded : problem_code::no_target;
     for (lane& l : lanes_)
     {
-        l.reason = l.failed ? miss_reason::no_replica : miss_reason::queue_full;
+        const bool crowded = !l.failed && !context_.pool.has_room(l.service);
+        l.reason = l.failed  ? miss_reason::no_replica
+                   : crowded ? miss_reason::queue_full
+                             : miss_reason::none;
     }
     context_.counters.add(counter::refused_not_run);
     finish(make_entry_problem(code, run_state::not_run,
@@ -591,7 +594,8 @@
     for (const lane& l : lanes_)
     {
         answered += l.answered ? 1 : 0;
-        if (!l.answered)
+        const bool unsent = l.sends.empty() && l.reason == miss_reason::none;
+        if (!l.answered && !unsent)
         {
             missing[l.service] = l.sends.empty()
                                      ? to_string(l.reason)
@@ -620,9 +624,14 @@
         return;
     }
     const bool hedge = reason == send_reason::hedge;
+    // The target of a send that still runs exists; that of a failed one may
+    // have been forgotten.
+    const std::string former =
+        hedge ? l.tried[l.tried.size() - 2]->record.id : std::string();
     context_.log.write(event::sub_request_repeated,
         {{"request", message_.id}, {"service", l.service},
             {"target", target.record.id}, {"zone", target.record.zone},
+            {"instead_of", former},
             {"why", hedge ? "slow" : std::string(to_string(l.reason))},
             {"elapsed_ms", milliseconds(now - started_)},
             {"hedge_after_ms", milliseconds(hedge_time())},
--- a/tools/bramleymux_main.cpp
+++ b/tools/bramleymux_main.cpp
@@ -1,4 +1,5 @@
 #include "bramleymux/commands.hpp"
+#include "common/request_story.hpp"
 
 #include <CLI/CLI.hpp>
 
@@ -23,6 +24,7 @@
   bramleymux move start m1 exam-desk v1 v2 600  move within 600 s
   bramleymux move watch m1                      follow it to the end
   bramleymux wait 17                            until version 17 is in force
+  bramleymux story 9c41d07be2a35f68 vm.log      one request's log lines
 
 Exit codes: 0 done, 1 usage, 2 findings, 3 conflict, 4 not accepted (platform),
 5 outcome unknown, 6 no answer, 7 not in time, 8 move withdrawn.)";
@@ -243,6 +245,28 @@
     list->callback([&] { selected = [&] { return show_moves(options); }; });
 }
 
+void
+add_story_command(CLI::App& app, arguments& args, command& selected)
+{
+    CLI::App* story =
+        app.add_subcommand("story", "log lines of one request, by time");
+    story->add_option("request", args.name, "id of the request")->required();
+    story->add_option("file", args.file, "decision log; - = standard input")
+        ->default_val("-");
+    story->callback(
+        [&]
+        {
+            selected = [&]
+            {
+                std::ifstream file(args.file);
+                std::istream& in = args.file == "-" ? std::cin : file;
+                const std::size_t lines =
+                    print_request_story(in, args.name, std::cout);
+                return lines > 0 ? exit_code::ok : exit_code::unknown;
+            };
+        });
+}
+
 } // namespace
 
 int
@@ -281,6 +305,7 @@
     add_table_commands(app, options, args, selected);
     add_zone_commands(app, options, args, selected);
     add_move_commands(app, options, args, selected);
+    add_story_command(app, args, selected);
     CLI::App* status = app.add_subcommand("status", "VMs, targets and moves");
     status->callback([&] { selected = [&] { return show_status(options); }; });
     CLI::App* wait =
