Split the large files of the entry path

Change: route_stats, entry_problem, entry_query_log, target_pool_upkeep; one search over the targets of a service; one reader of settings files; tests of the entry settings. Behaviour is unchanged.

--- /dev/null
+++ b/src/entry_problem.cpp
@@ -0,0 +1,48 @@
+#include "entry_problem.hpp"
+
+#include "config.hpp"
+
+namespace bramleymux
+{
+
+using nlohmann::ordered_json;
+
+namespace
+{
+
+double
+in_milliseconds(duration d)
+{
+    return std::chrono::duration<double, std::milli>(d).count();
+}
+
+} // namespace
+
+http_reply
+make_entry_problem(problem_code code, run_state run, std::string_view detail,
+    std::mt19937_64& random)
+{
+    const problem_info& info = info_of(code);
+    http_reply out;
+    out.status = info.status;
+    const ordered_json document{{"type", "about:blank"}, {"title", info.title},
+        {"status", info.status},
+        {"code", problem_code_names[static_cast<std::size_t>(code)]},
+        {"run", to_string(run)}, {"detail", detail}};
+    out.fields.push_back({"Content-Type", "application/problem+json"});
+    constexpr int service_unavailable = 503;
+    if (info.status == service_unavailable && run == run_state::not_run)
+    {
+        std::uniform_real_distribution<double> part(0.0, 1.0);
+        const double wait_s =
+            (in_milliseconds(config::retry_after_min) +
+                part(random) * in_milliseconds(config::retry_after_spread)) /
+            1000.0;
+        out.fields.push_back({"Retry-After", std::to_string(wait_s)});
+    }
+    out.body =
+        document.dump(-1, ' ', false, ordered_json::error_handler_t::replace);
+    return out;
+}
+
+} // namespace bramleymux
--- a/src/entry_query.cpp
+++ b/src/entry_query.cpp
@@ -7,20 +7,11 @@
 namespace bramleymux
 {
 
-using nlohmann::ordered_json;
-
 namespace
 {
 
-constexpr std::uint32_t samples_between_refreshes = 16;
 constexpr int first_client_error = 400;
 
-double
-milliseconds(duration d)
-{
-    return std::chrono::duration<double, std::milli>(d).count();
-}
-
 miss_reason
 reason_of_outcome(send_outcome outcome)
 {
@@ -41,73 +32,6 @@
 
 } // namespace
 
-duration
-hedge_after(const route_stats& stats, const route_rule& route)
-{
-    const auto latest = std::chrono::duration_cast<duration>(
-        route.target_latency * config::hedge_latest_share);
-    if (total(stats.latency) < config::min_hedge_samples)
-    {
-        return latest;
-    }
-    const auto usual = std::chrono::duration_cast<duration>(
-        quantile(stats.latency, config::entry_hedge_quantile) *
-        config::hedge_stretch);
-    return std::clamp<duration>(usual, config::hedge_floor,
-        std::max<duration>(latest, config::hedge_floor));
-}
-
-void
-note_latency(route_stats& stats, const route_rule& route, duration sample,
-    monotonic_time now)
-{
-    record(stats.latency, sample, now);
-    if (stats.usual == duration::zero() ||
-        ++stats.samples >= samples_between_refreshes)
-    {
-        stats.samples = 0;
-        stats.usual = quantile(stats.latency, 0.5);
-        stats.hedge_after = hedge_after(stats, route);
-    }
-}
-
-duration
-spent_before(route_stats& stats, duration time_left)
-{
-    stats.longest_wait = std::max(stats.longest_wait, time_left);
-    const duration spent = stats.longest_wait - time_left;
-    return spent > stats.longest_wait * config::least_spent_share
-               ? spent
-               : duration::zero();
-}
-
-http_reply
-make_entry_problem(problem_code code, run_state run, std::string_view detail,
-    std::mt19937_64& random)
-{
-    const problem_info& info = info_of(code);
-    http_reply out;
-    out.status = info.status;
-    const ordered_json document{{"type", "about:blank"}, {"title", info.title},
-        {"status", info.status},
-        {"code", problem_code_names[static_cast<std::size_t>(code)]},
-        {"run", to_string(run)}, {"detail", detail}};
-    out.fields.push_back({"Content-Type", "application/problem+json"});
-    constexpr int service_unavailable = 503;
-    if (info.status == service_unavailable && run == run_state::not_run)
-    {
-        std::uniform_real_distribution<double> part(0.0, 1.0);
-        const double wait_s =
-            (milliseconds(config::retry_after_min) +
-                part(random) * milliseconds(config::retry_after_spread)) /
-            1000.0;
-        out.fields.push_back({"Retry-After", std::to_string(wait_s)});
-    }
-    out.body =
-        document.dump(-1, ' ', false, ordered_json::error_handler_t::replace);
-    return out;
-}
-
 entry_query::entry_query(entry_context& context,
     std::shared_ptr<const desired_state> state, const route_rule& route,
     caller_message&& message, answer_handler answer)
@@ -578,67 +502,6 @@
     answer(std::move(reply));
 }
 
-/// Whole answers in time without a hedge or retry are counted, not logged.
-void
-entry_query::log_outcome(event what, int status, std::string_view reason)
-{
-    const monotonic_time now = monotonic_clock::now();
-    const bool plain = what == event::request_answered && hedges_ == 0 &&
-                       retries_ == 0 && now - started_ <= route_.target_latency;
-    if (plain || !context_.log.admits(what, now))
-    {
-        return;
-    }
-    ordered_json missing = ordered_json::object();
-    std::size_t answered = 0;
-    for (const lane& l : lanes_)
-    {
-        answered += l.answered ? 1 : 0;
-        const bool unsent = l.sends.empty() && l.reason == miss_reason::none;
-        if (!l.answered && !unsent)
-        {
-            missing[l.service] = l.sends.empty()
-                                     ? to_string(l.reason)
-                                     : to_string(miss_reason::deadline);
-        }
-    }
-    context_.log.write(what,
-        {{"request", message_.id}, {"route", route_.name},
-            {"config_version", state_->version}, {"status", status},
-            {"reason", reason}, {"took_ms", milliseconds(now - started_)},
-            {"target_ms", milliseconds(route_.target_latency)},
-            {"spent_before_ms", milliseconds(spent_)},
-            {"give_up_ms", milliseconds(give_up_)}, {"asked", lanes_.size()},
-            {"answered", answered}, {"hedges", hedges_}, {"retries", retries_},
-            {"missing", missing}});
-}
-
-void
-entry_query::log_send(
-    const lane& l, const target_state& target, send_reason reason)
-{
-    const monotonic_time now = monotonic_clock::now();
-    if (reason == send_reason::first ||
-        !context_.log.admits(event::sub_request_repeated, now))
-    {
-        return;
-    }
-    const bool hedge = reason == send_reason::hedge;
-    // The target of a send that still runs exists; that of a failed one may
-    // have been forgotten.
-    const std::string former =
-        hedge ? l.tried[l.tried.size() - 2]->record.id : std::string();
-    context_.log.write(event::sub_request_repeated,
-        {{"request", message_.id}, {"service", l.service},
-            {"target", target.record.id}, {"zone", target.record.zone},
-            {"instead_of", former},
-            {"why", hedge ? "slow" : std::string(to_string(l.reason))},
-            {"elapsed_ms", milliseconds(now - started_)},
-            {"hedge_after_ms", milliseconds(hedge_time())},
-            {"pace", target.pace},
-            {"pace_age_ms", milliseconds(now - target.measured_at)}});
-}
-
 /// Work for a caller that no longer waits is ended; a request that must not
 /// run twice is left to finish, since ending it tells nothing.
 void
--- a/src/entry_query.hpp
+++ b/src/entry_query.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "entry_problem.hpp"
 #include "gather.hpp"
-#include "latency.hpp"
-#include "problem.hpp"
+#include "route_stats.hpp"
 #include "target_pool.hpp"
 
 #include <boost/asio/steady_timer.hpp>
@@ -17,32 +17,6 @@
 namespace bramleymux
 {
 
-/// What the VM learned of one route.
-struct route_stats
-{
-    latency_sketch latency; ///< of replies to sub-requests
-    duration usual{};       ///< median, refreshed every few samples
-    duration hedge_after{};
-    std::uint32_t samples = 0; ///< since the last refresh
-    share_picker shares;
-    duration longest_wait{}; ///< time that callers give their first attempts
-};
-
-/// Time that the caller of a request with `time_left` has spent on earlier
-/// attempts: a repeated attempt has less time left than a first one.
-duration
-spent_before(route_stats& stats, duration time_left);
-
-/// Adds a sample and refreshes the derived times.
-void
-note_latency(route_stats& stats, const route_rule& route, duration sample,
-    monotonic_time now);
-
-/// Time after which a sub-request is hedged, from the target latency alone
-/// while there are few samples.
-duration
-hedge_after(const route_stats& stats, const route_rule& route);
-
 /// What queries share. Everything runs on one event loop.
 struct entry_context
 {
@@ -55,12 +29,6 @@
     std::mt19937_64& random;
 };
 
-/// A refusal or failure of this VM, as a problem document. A refusal that ran
-/// nothing names a time for the retry.
-http_reply
-make_entry_problem(problem_code code, run_state run, std::string_view detail,
-    std::mt19937_64& random);
-
 class entry_query : public std::enable_shared_from_this<entry_query>
 {
 public:
--- a/src/entry_settings.cpp
+++ b/src/entry_settings.cpp
@@ -6,7 +6,6 @@
 #include <ini.h>
 
 #include <cmath>
-#include <fstream>
 #include <map>
 #include <sstream>
 
@@ -57,7 +56,7 @@
     std::string
     address(const std::string& key, bool required) const
     {
-        const std::string value = text(key, required);
+        std::string value = text(key, required);
         if (!value.empty() && !is_ip_port(value))
         {
             report(key, "must be IP:port");
@@ -144,15 +143,8 @@
 entry_settings
 load_entry_settings(const std::string& path, findings& found)
 {
-    std::ifstream in(path);
-    if (!in)
-    {
-        found.push_back({path, "cannot be read"});
-        return {};
-    }
-    std::ostringstream text;
-    text << in.rdbuf();
-    return parse_entry_settings(text.str(), path, found);
+    const auto text = read_settings_file(path, found);
+    return text ? parse_entry_settings(*text, path, found) : entry_settings{};
 }
 
 } // namespace bramleymux
--- /dev/null
+++ b/src/route_stats.cpp
@@ -0,0 +1,57 @@
+#include "route_stats.hpp"
+
+#include "config.hpp"
+
+#include <algorithm>
+
+namespace bramleymux
+{
+
+namespace
+{
+
+constexpr std::uint32_t samples_between_refreshes = 16;
+
+} // namespace
+
+duration
+hedge_after(const route_stats& stats, const route_rule& route)
+{
+    const auto latest = std::chrono::duration_cast<duration>(
+        route.target_latency * config::hedge_latest_share);
+    if (total(stats.latency) < config::min_hedge_samples)
+    {
+        return latest;
+    }
+    const auto usual = std::chrono::duration_cast<duration>(
+        quantile(stats.latency, config::entry_hedge_quantile) *
+        config::hedge_stretch);
+    return std::clamp<duration>(usual, config::hedge_floor,
+        std::max<duration>(latest, config::hedge_floor));
+}
+
+void
+note_latency(route_stats& stats, const route_rule& route, duration sample,
+    monotonic_time now)
+{
+    record(stats.latency, sample, now);
+    if (stats.usual == duration::zero() ||
+        ++stats.samples >= samples_between_refreshes)
+    {
+        stats.samples = 0;
+        stats.usual = quantile(stats.latency, 0.5);
+        stats.hedge_after = hedge_after(stats, route);
+    }
+}
+
+duration
+spent_before(route_stats& stats, duration time_left)
+{
+    stats.longest_wait = std::max(stats.longest_wait, time_left);
+    const duration spent = stats.longest_wait - time_left;
+    return spent > stats.longest_wait * config::least_spent_share
+               ? spent
+               : duration::zero();
+}
+
+} // namespace bramleymux
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -347,18 +347,25 @@
     return state.values;
 }
 
-settings
-load_settings(const std::string& path, findings& found)
+std::optional<std::string>
+read_settings_file(const std::string& path, findings& found)
 {
     std::ifstream in(path);
     if (!in)
     {
         found.push_back({path, "cannot be read"});
-        return {};
+        return std::nullopt;
     }
     std::ostringstream text;
     text << in.rdbuf();
-    return parse_settings(text.str(), path, found);
+    return text.str();
+}
+
+settings
+load_settings(const std::string& path, findings& found)
+{
+    const auto text = read_settings_file(path, found);
+    return text ? parse_settings(*text, path, found) : settings{};
 }
 
 } // namespace bramleymux
--- a/src/settings.hpp
+++ b/src/settings.hpp
@@ -5,6 +5,7 @@
 #include <bramleymux/types.hpp>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -81,7 +82,11 @@
 parse_settings(
     const std::string& text, const std::string& name, findings& found);
 
-/// Reads a file; a file that cannot be read is one finding.
+/// The text of a file; a file that cannot be read is one finding.
+std::optional<std::string>
+read_settings_file(const std::string& path, findings& found);
+
+/// Reads and checks a file.
 settings
 load_settings(const std::string& path, findings& found);
 
--- a/src/target_pool.hpp
+++ b/src/target_pool.hpp
@@ -150,6 +150,9 @@
     struct service_state;
     struct waiter;
 
+    template <class Test>
+    bool
+    any_usable(const std::string& service, Test test) const;
     choice_context
     context_of(const service_state* service) const;
     void
--- /dev/null
+++ b/src/target_pool_upkeep.cpp
@@ -0,0 +1,191 @@
+#include "config.hpp"
+#include "target_pool_state.hpp"
+
+#include <algorithm>
+
+/// Health probes, timeouts and idle connections of target_pool.
+namespace bramleymux
+{
+
+namespace
+{
+
+constexpr int first_success = 200;
+constexpr int first_redirect = 300;
+
+bool
+is_success(int status)
+{
+    return status >= first_success && status < first_redirect;
+}
+
+} // namespace
+
+void
+target_pool::probe(entry& e)
+{
+    e.state.probing = true;
+    metrics_.add(counter::health_probes);
+    const std::string id = e.state.record.id;
+    open_link(e,
+        [this, id](const std::shared_ptr<target_link>& link)
+        {
+            const auto found = entries_.find(id);
+            if (!link || found == entries_.end())
+            {
+                on_probe(id, {});
+                return;
+            }
+            const entry& target = *found->second;
+            link->exchange(
+                wire_.write_health_request(target.service->rule.health_path,
+                    target.state.record.address),
+                {}, false,
+                [this, id](link_result&& r) { on_probe(id, std::move(r)); });
+        });
+}
+
+void
+target_pool::on_probe(const std::string& id, link_result&& result)
+{
+    const auto found = entries_.find(id);
+    if (found == entries_.end() || !found->second->state.probing)
+    {
+        return;
+    }
+    entry& e = *found->second;
+    const monotonic_time now = monotonic_clock::now();
+    const target_reply& reply = result.reply;
+    const bool replied = result.outcome == link_outcome::reply;
+    e.state.probing = false;
+    if (replied && !reply.target_id.empty() && reply.target_id != id)
+    {
+        e.state.misdirected = true;
+        log_target(event::target_misdirected, e, reply.target_id);
+        return;
+    }
+    if (replied && (is_success(reply.status) || reply.not_run))
+    {
+        const bool was_blocked = e.state.blocked;
+        learn(e, reply);
+        note_recovered(e.state);
+        if (was_blocked)
+        {
+            log_target(event::target_reachable, e, "health probe");
+            wake_waiter(*e.service);
+        }
+        return;
+    }
+    note_probe_failed(e.state, now);
+}
+
+void
+target_pool::drop(entry& e)
+{
+    e.removed = true;
+    auto& targets = e.service->targets;
+    targets.erase(
+        std::remove(targets.begin(), targets.end(), &e.state), targets.end());
+    for (const auto& link : e.links)
+    {
+        if (link->state() == link_state::idle)
+        {
+            link->close();
+        }
+    }
+}
+
+void
+target_pool::tick_links(entry& e, monotonic_time now)
+{
+    const auto links = e.links;
+    for (const auto& link : links)
+    {
+        const duration age = now - link->since();
+        const bool timed_out = link->state() == link_state::connecting &&
+                               age > config::connect_timeout;
+        const bool expired = link->state() == link_state::idle &&
+                             (age > link->idle_limit() || e.removed);
+        if (timed_out || expired)
+        {
+            link->close();
+        }
+    }
+    e.links.erase(
+        std::remove_if(e.links.begin(), e.links.end(),
+            [](const auto& l) { return l->state() == link_state::closed; }),
+        e.links.end());
+    const bool was_full = e.state.full;
+    refresh_room(e);
+    if (was_full && !e.state.full)
+    {
+        wake_waiter(*e.service);
+    }
+    if (e.state.blocked && !e.state.probing && !e.removed &&
+        now >= e.state.probe_at)
+    {
+        probe(e);
+    }
+}
+
+void
+target_pool::tick()
+{
+    const monotonic_time now = monotonic_clock::now();
+    std::vector<send_id> ended;
+    for (auto& [id, pending] : sends_)
+    {
+        if (now >= pending.close_at)
+        {
+            ended.push_back(id);
+        }
+        else if (!pending.silent && pending.on_wire &&
+                 now - pending.since >
+                     config::silent_target + 4 * pending.order.expected)
+        {
+            pending.silent = true;
+            note_silent(pending.target->state, now);
+            log_target(event::target_unreachable, *pending.target, "silent");
+        }
+    }
+    for (const send_id id : ended)
+    {
+        const auto found = sends_.find(id);
+        const auto link =
+            found == sends_.end() ? nullptr : found->second.link.lock();
+        if (link)
+        {
+            link->close();
+        }
+        finish(id, send_outcome::broken, true, {});
+    }
+    for (auto it = entries_.begin(); it != entries_.end();)
+    {
+        entry& e = *it->second;
+        tick_links(e, now);
+        const bool gone = e.state.lapsed_at &&
+                          now - *e.state.lapsed_at > config::lapsed_grace;
+        if (gone)
+        {
+            log_target(event::target_lapsed, e, "gone");
+            drop(e);
+            retired_.push_back(std::move(it->second));
+            it = entries_.erase(it);
+        }
+        else
+        {
+            ++it;
+        }
+    }
+    for (const auto& e : retired_)
+    {
+        tick_links(*e, now);
+    }
+    retired_.erase(std::remove_if(retired_.begin(), retired_.end(),
+                       [](const auto& e) {
+                           return e->links.empty() && e->state.running.empty();
+                       }),
+        retired_.end());
+}
+
+} // namespace bramleymux
--- /dev/null
+++ b/tests/test_entry_settings.cpp
@@ -0,0 +1,53 @@
+#include "entry_settings.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace bramleymux;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const std::string good = "[vm]\nid = vm-1\nzone = z\n"
+                         "[listen]\ncaller = 127.0.0.1:1\n"
+                         "readiness = 127.0.0.1:2\npeer = 127.0.0.1:3\n"
+                         "[store]\naddress = 127.0.0.1:4\n";
+
+} // namespace
+
+// Guards against settings that are ignored or read with another unit.
+TEST_CASE("entry settings are read with their units", "[entry]")
+{
+    findings found;
+    const entry_settings values = parse_entry_settings(
+        good + "[extra_load]\nratio = 0.3\nslack = 56\nwindow_s = 5\n"
+               "[stop]\ngrace_s = 8\n",
+        "file", found);
+    CHECK(found.empty());
+    CHECK(values.extra_load.ratio == 0.3);
+    CHECK(values.extra_load.slack == 56);
+    CHECK(values.extra_load.window == 5s);
+    CHECK(values.stop.exit_at == 7500ms);
+}
+
+// Guards against a start with bad settings, and against findings that show up
+// one at a time.
+TEST_CASE("all findings of entry settings are reported", "[entry]")
+{
+    findings found;
+    parse_entry_settings("[vm]\nid = vm-1\n[listen]\ncaller = nowhere\n"
+                         "[extra_load]\nratio = much\nwindow_s = -1\n",
+        "file", found);
+    std::vector<std::string> places;
+    for (const finding& f : found)
+    {
+        places.push_back(f.place);
+    }
+    CHECK(places == std::vector<std::string>{"file/vm/zone",
+                        "file/listen/caller", "file/listen/readiness",
+                        "file/listen/peer", "file/store/address",
+                        "file/extra_load/ratio", "file/extra_load/window_s"});
+    found.clear();
+    load_entry_settings("/nonexistent/settings.ini", found);
+    CHECK(found.size() == 1);
+}
