--- a/src/caller_connection.cpp
+++ b/src/caller_connection.cpp
@@ -253,12 +253,12 @@
         {
             begin_drain();
         }
+        return;
     }
-    else if (phase_ == phase::draining && age > config::close_drain_time)
-    {
-        close();
-    }
-    else if (phase_ == phase::writing && age > limits_.idle_timeout)
+    const bool drained =
+        phase_ == phase::draining && age > config::close_drain_time;
+    const bool stuck = phase_ == phase::writing && age > limits_.idle_timeout;
+    if (drained || stuck)
     {
         close();
     }
