--- a/Makefile
+++ b/Makefile
@@ -59,7 +59,7 @@
 check-format:
 	@scripts/format.sh --check
 
-## tidy          run clang-tidy over src/ and tools/
+## tidy          run clang-tidy over src/, tools/ and platform/
 tidy: build
 	@scripts/tidy.sh $(BUILD)
 
