Share the handler that answers on a caller's connection

Cause: entry_server.cpp had the same handler for peers and for callers twice, and two unused declarations were left over. Change: answer_on serves both; the unused lines are gone. Behaviour is unchanged.

--- a/src/entry_server.cpp
+++ b/src/entry_server.cpp
@@ -5,7 +5,6 @@
 #include "stream_socket.hpp"
 
 #include <algorithm>
-#include <set>
 
 namespace bramleymux
 {
@@ -13,7 +12,6 @@
 namespace asio = boost::asio;
 using asio::ip::tcp;
 using boost::system::error_code;
-using nlohmann::ordered_json;
 
 namespace
 {
@@ -25,6 +23,19 @@
     fault_problems{problem_code::invalid_request, problem_code::header_too_long,
         problem_code::body_too_long, problem_code::request_timeout};
 
+/// Answers on the connection, unless it was closed meanwhile.
+std::function<void(http_reply&&)>
+answer_on(const std::shared_ptr<caller_connection>& connection)
+{
+    return [weak = std::weak_ptr<caller_connection>(connection)](http_reply&& r)
+    {
+        if (const auto c = weak.lock())
+        {
+            c->answer(std::move(r));
+        }
+    };
+}
+
 } // namespace
 
 struct entry_server::listener
@@ -131,17 +142,7 @@
     {
         handler = [this](http_request&& request,
                       const std::shared_ptr<caller_connection>& connection)
-        {
-            peer_handler_(request.path,
-                [weak = std::weak_ptr<caller_connection>(connection)](
-                    http_reply&& r)
-                {
-                    if (const auto c = weak.lock())
-                    {
-                        c->answer(std::move(r));
-                    }
-                });
-        };
+        { peer_handler_(request.path, answer_on(connection)); };
     }
     else if (from.role == listener::kind::local)
     {
@@ -239,15 +240,8 @@
         // The caller's next connection goes to a VM in the rotation.
         connection->set_last();
     }
-    const auto query = std::make_shared<entry_query>(context_, state_, *rule,
-        std::move(message),
-        [weak = std::weak_ptr<caller_connection>(connection)](http_reply&& r)
-        {
-            if (const auto c = weak.lock())
-            {
-                c->answer(std::move(r));
-            }
-        });
+    const auto query = std::make_shared<entry_query>(
+        context_, state_, *rule, std::move(message), answer_on(connection));
     connection->set_query(query);
     query->start();
 }
--- a/src/target_pool.cpp
+++ b/src/target_pool.cpp
@@ -11,8 +11,6 @@
 namespace bramleymux
 {
 
-using nlohmann::ordered_json;
-
 namespace
 {
 
