Ask shards of other zones through a VM there

A quarter of the shards has no target in the zone of the VM that serves the caller, and each of them took a request and a reply of its own across the zones. Change: a VM sends one order for such shards to a VM of a zone that has their targets. That VM asks each shard once, merges the records and hands back what is not answered when the ordering VM would hedge; hedges, retries, the budget and the caller stay with the ordering VM. A silent delegate is left out until it answers a probe, and its shards are asked directly.

--- a/include/bramleymux/stats.hpp
+++ b/include/bramleymux/stats.hpp
@@ -51,6 +51,11 @@
     desired_state_age_ms,  ///< since the source was last heard
     known_targets,         ///< registered, as this VM knows
     follows_store,         ///< 1 while this VM follows the store itself
+    gather_orders_sent,    ///< to VMs of other zones
+    gather_orders_received,
+    gather_orders_refused, ///< received, without a target that has room
+    shards_handed_back,    ///< of sent orders, without an answer
+    delegates_lost,        ///< VMs of other zones that became silent
     count
 };
 
@@ -66,7 +71,9 @@
     "lease_held", "target_connections", "health_probes", "sub_requests_shed",
     "extra_load_refused", "requests_late", "requests_gave_up",
     "log_lines_dropped", "desired_state_version", "desired_state_age_ms",
-    "known_targets", "follows_store"};
+    "known_targets", "follows_store", "gather_orders_sent",
+    "gather_orders_received", "gather_orders_refused", "shards_handed_back",
+    "delegates_lost"};
 
 /// Values of every counter at one moment.
 struct stats
--- a/src/call_channel.cpp
+++ b/src/call_channel.cpp
@@ -48,16 +48,19 @@
 }
 
 void
-call_channel::call(const std::string& method, const std::string& path,
-    const std::string& body, duration timeout, reply_handler handler)
+call_channel::call(
+    const call_request& request, duration timeout, reply_handler handler)
 {
-    request_ = method + " " + path + " HTTP/1.1\r\nHost: " + address_ + "\r\n";
-    if (!body.empty())
+    request_ = request.method + " " + request.path +
+               " HTTP/1.1\r\nHost: " + address_ + "\r\n";
+    if (!request.body.empty())
     {
-        request_ += "Content-Type: application/json\r\nContent-Length: " +
-                    std::to_string(body.size()) + "\r\n";
+        request_ += "Content-Type: " + request.content_type +
+                    "\r\nContent-Length: " +
+                    std::to_string(request.body.size()) + "\r\n";
     }
-    request_ += "\r\n" + body;
+    request_ += "\r\n" + request.body;
+    sent_ = false;
     handler_ = std::move(handler);
     ++call_;
     timer_.expires_after(timeout);
@@ -107,6 +110,7 @@
 void
 call_channel::send()
 {
+    sent_ = true;
     link_->exchange(std::move(request_), {}, false,
         [this, alive = alive_, call = call_](link_result&& result)
         {
@@ -132,6 +136,7 @@
         const auto link = std::move(link_);
         link_ = nullptr;
         link->close();
+        reply.unsent = !sent_;
     }
     handler(std::move(reply));
 }
--- a/src/call_channel.hpp
+++ b/src/call_channel.hpp
@@ -12,10 +12,19 @@
 namespace bramleymux
 {
 
+struct call_request
+{
+    std::string method;
+    std::string path; ///< with the query
+    std::string body;
+    std::string content_type = "application/json"; ///< of the body
+};
+
 struct call_reply
 {
     int status = 0; ///< 0 = no answer; the call may have been executed
     std::string body;
+    bool unsent = false; ///< no connection, so the call was not executed
 };
 
 /// One connection to a server, with one call at a time. It is opened anew
@@ -34,8 +43,7 @@
 
     /// `handler` is called later, unless the channel is destroyed before.
     void
-    call(const std::string& method, const std::string& path,
-        const std::string& body, duration timeout, reply_handler handler);
+    call(const call_request& request, duration timeout, reply_handler handler);
 
     /// Drops the call in progress; its handler is not called.
     void
@@ -59,6 +67,7 @@
     std::shared_ptr<target_link> link_;
     std::string request_;
     reply_handler handler_;
+    bool sent_ = false;
     std::uint64_t call_ = 0;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/caller_connection.cpp
+++ b/src/caller_connection.cpp
@@ -37,9 +37,9 @@
 }
 
 void
-caller_connection::set_query(std::weak_ptr<entry_query> query)
+caller_connection::set_on_left(std::function<void()> on_left)
 {
-    query_ = std::move(query);
+    on_left_ = std::move(on_left);
 }
 
 void
@@ -152,7 +152,7 @@
     {
         return;
     }
-    query_.reset();
+    on_left_ = nullptr;
     keep_alive_ = keep_alive_ && !last_;
     reply.keep_alive = keep_alive_;
     output_ = serialize(reply, bodiless_);
@@ -274,11 +274,12 @@
     enter(phase::closed);
     error_code ignored;
     socket_.close(ignored);
-    if (const auto query = query_.lock())
+    const std::function<void()> on_left = std::move(on_left_);
+    on_left_ = nullptr;
+    if (on_left)
     {
-        query->cancel();
+        on_left();
     }
-    query_.reset();
 }
 
 } // namespace bramleymux
--- a/src/caller_connection.hpp
+++ b/src/caller_connection.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
-#include "entry_query.hpp"
+#include "fleet_view.hpp"
+#include "http_codec.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
 
@@ -41,9 +42,9 @@
     void
     answer(http_reply&& reply);
 
-    /// The query whose answer the connection waits for.
+    /// Called when the connection closes before the request is answered.
     void
-    set_query(std::weak_ptr<entry_query> query);
+    set_on_left(std::function<void()> on_left);
 
     /// After the answer in progress, or at once when idle.
     void
@@ -104,7 +105,7 @@
     request_handler handler_;
     input_fault_handler on_fault_;
     request_reader reader_;
-    std::weak_ptr<entry_query> query_;
+    std::function<void()> on_left_;
     std::string input_;
     std::string output_;
     std::size_t written_ = 0;
--- a/src/config.hpp
+++ b/src/config.hpp
@@ -360,6 +360,21 @@
 inline constexpr auto follow_store_min = 8s;
 inline constexpr auto deletion_memory = 60s;
 
+// Orders to VMs of other zones to ask several shards. Below the group size a
+// direct sub-request costs less than an order.
+inline constexpr std::size_t min_group_shards = 2;
+inline constexpr std::size_t delegates_per_zone = 2;
+inline constexpr std::size_t max_delegated_body_bytes = 64 * kib;
+inline constexpr std::size_t max_order_bytes = mib;
+inline constexpr auto max_order_time = 1h;
+// Way and processing of an order and its reply, beyond the time it is given.
+inline constexpr auto delegate_margin = 15ms;
+inline constexpr double handed_back_factor = 4.0;
+inline constexpr double handed_back_gain = 0.1;
+inline constexpr auto delegate_block_base = 500ms;
+inline constexpr auto delegate_block_max = 4s;
+inline constexpr auto delegate_probe_timeout = 500ms;
+
 // Requests that wait for a target of one service with room.
 inline constexpr std::size_t max_waiting_per_service = 256;
 // A VM that hears no target of another zone for this long, although it probes
--- /dev/null
+++ b/src/entry_context.hpp
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "gather_delegates.hpp"
+#include "route_stats.hpp"
+#include "target_pool.hpp"
+
+#include <random>
+#include <string>
+#include <unordered_map>
+
+/// Parts of an entry VM that its requests share.
+namespace bramleymux
+{
+
+/// Everything runs on one event loop.
+struct entry_context
+{
+    boost::asio::io_context& loop;
+    target_pool& pool;
+    gather_delegates& delegates;
+    const entry_wire& wire;
+    metrics& counters;
+    decision_log& log;
+    std::unordered_map<std::string, route_stats>& routes;
+    std::mt19937_64& random;
+};
+
+} // namespace bramleymux
--- a/src/entry_query.cpp
+++ b/src/entry_query.cpp
@@ -61,6 +61,14 @@
                                                   : stats_.hedge_after;
 }
 
+duration
+entry_query::expected_latency() const
+{
+    return stats_.usual == duration::zero()
+               ? duration(route_.target_latency / 4)
+               : stats_.usual;
+}
+
 duration
 entry_query::time_left(monotonic_time now) const
 {
@@ -96,14 +104,16 @@
     // Nothing is sent when too few shards can answer, or in time.
     if (next_step(progress(started_)) != gather_step::fail && !is_crowded())
     {
+        std::vector<std::size_t> open;
         for (std::size_t i = 0; i < lanes_.size(); ++i)
         {
             if (!lanes_[i].failed)
             {
                 context_.pool.count_first(lanes_[i].service);
-                dispatch_or_wait(i, send_reason::first);
+                open.push_back(i);
             }
         }
+        send_first(open);
     }
     else
     {
@@ -231,9 +241,7 @@
     send_order order;
     order.request_id = message_.id;
     order.bodiless = message_.method == "HEAD";
-    order.expected = stats_.usual == duration::zero()
-                         ? duration(route_.target_latency / 4)
-                         : stats_.usual;
+    order.expected = expected_latency();
     const auto self = shared_from_this();
     order.write = [self](const std::string& target_id)
     {
@@ -267,7 +275,7 @@
         return;
     }
     if (result.outcome == send_outcome::good &&
-        (!gathers() || result.reply.status < 300))
+        (!gathers() || is_part(result)))
     {
         on_good(l, std::move(result));
     }
@@ -317,11 +325,7 @@
     {
         l.reply = std::move(result.reply);
     }
-    const bool repeatable = route_.idempotent || l.runs == 0;
-    const bool in_bounds =
-        l.runs + l.sends.size() < route_.attempts &&
-        l.rejections <= config::max_rejections + route_.attempts;
-    if (repeatable && in_bounds)
+    if (may_repeat(l))
     {
         dispatch_or_wait(lane_index, send_reason::retry);
         return;
@@ -329,6 +333,14 @@
     l.failed = l.sends.empty() && !l.waiting;
 }
 
+bool
+entry_query::may_repeat(const lane& l) const
+{
+    const bool repeatable = route_.idempotent || l.runs == 0;
+    return repeatable && l.runs + l.sends.size() < route_.attempts &&
+           l.rejections <= config::max_rejections + route_.attempts;
+}
+
 /// Sends that take longer than usual get a second one to another target.
 void
 entry_query::hedge_due(monotonic_time now)
@@ -441,6 +453,7 @@
             parts.push_back(l.reply.body);
         }
     }
+    parts.insert(parts.end(), merged_records_.begin(), merged_records_.end());
     answer.missing = p.shards - p.answered;
     answer.records = merge_records(parts, route_.result_limit);
     const bool whole = answer.missing == 0;
@@ -456,7 +469,9 @@
 {
     return std::any_of(lanes_.begin(), lanes_.end(),
         [](const lane& l)
-        { return l.answered || l.runs > 0 || !l.sends.empty(); });
+        {
+            return l.answered || l.runs > 0 || !l.sends.empty() || l.delegated;
+        });
 }
 
 /// `in_time`: given up before the caller's time was over.
@@ -516,6 +531,11 @@
             context_.pool.abandon(send.id, linger);
         }
     }
+    for (const delegation& d : delegations_)
+    {
+        context_.delegates.abandon(d.id);
+    }
+    delegations_.clear();
 }
 
 void
--- a/src/entry_query.hpp
+++ b/src/entry_query.hpp
@@ -1,9 +1,8 @@
 #pragma once
 
+#include "entry_context.hpp"
 #include "entry_problem.hpp"
 #include "gather.hpp"
-#include "route_stats.hpp"
-#include "target_pool.hpp"
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -17,18 +16,6 @@
 namespace bramleymux
 {
 
-/// What queries share. Everything runs on one event loop.
-struct entry_context
-{
-    boost::asio::io_context& loop;
-    target_pool& pool;
-    const entry_wire& wire;
-    metrics& counters;
-    decision_log& log;
-    std::unordered_map<std::string, route_stats>& routes;
-    std::mt19937_64& random;
-};
-
 class entry_query : public std::enable_shared_from_this<entry_query>
 {
 public:
@@ -71,13 +58,43 @@
         std::uint32_t rejections = 0; ///< sends that ran nothing
         bool answered = false;
         bool failed = false;
-        bool waiting = false; ///< for a target with room
+        bool waiting = false;   ///< for a target with room
+        bool delegated = false; ///< asked through a VM of another zone
         target_reply reply;
         miss_reason reason = miss_reason::none;
     };
 
+    /// Lanes that a VM of another zone asks.
+    struct delegation
+    {
+        order_id id = 0;
+        std::string zone;
+        std::vector<std::size_t> lanes;
+    };
+
     void
     open_lanes();
+    /// Sends the lanes for the first time, grouped where that saves bytes
+    /// between zones.
+    void
+    send_first(const std::vector<std::size_t>& lanes);
+    std::vector<gather_group>
+    groups_of(const std::vector<std::size_t>& lanes);
+    void
+    delegate(gather_group&& group);
+    gather_order
+    order_for(const gather_group& group) const;
+    void
+    on_delegate(order_id id, delegate_reply&& reply);
+    void
+    take_parts(const delegation& from, gather_parts&& parts);
+    /// The delegate did not answer for the lane.
+    void
+    take_back(std::size_t lane_index, part_state state);
+    void
+    on_refusal(const delegation& from);
+    bool
+    may_repeat(const lane& l) const;
     bool
     is_crowded() const;
     void
@@ -113,6 +130,9 @@
     void
     log_outcome(event what, int status, std::string_view reason);
     void
+    log_handed_back(const std::string& zone, std::size_t asked,
+        const std::vector<std::string>& shards);
+    void
     count_send(send_reason reason);
     void
     log_send(const lane& l, const target_state& target, send_reason reason);
@@ -122,6 +142,9 @@
     time_left(monotonic_time now) const;
     duration
     hedge_time() const;
+    /// Usual latency of the route, or an assumption before it is known.
+    duration
+    expected_latency() const;
     bool
     gathers() const;
     bool
@@ -139,6 +162,9 @@
     duration target_left_; ///< of the target latency
     duration give_up_;
     std::vector<lane> lanes_;
+    std::vector<delegation> delegations_;     ///< without a reply so far
+    std::vector<std::string> zones_refused_;  ///< by their delegates
+    std::vector<std::string> merged_records_; ///< of the delegates' replies
     std::uint32_t hedges_ = 0;
     std::uint32_t retries_ = 0;
     bool finished_ = false;
--- /dev/null
+++ b/src/entry_query_delegate.cpp
@@ -0,0 +1,215 @@
+#include "config.hpp"
+#include "entry_query.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+/// Lanes of a query that VMs of other zones ask.
+namespace bramleymux
+{
+
+void
+entry_query::send_first(const std::vector<std::size_t>& lanes)
+{
+    std::vector<gather_group> groups = groups_of(lanes);
+    for (gather_group& group : groups)
+    {
+        delegate(std::move(group));
+    }
+    for (const std::size_t i : lanes)
+    {
+        if (!lanes_[i].delegated)
+        {
+            dispatch_or_wait(i, send_reason::first);
+        }
+    }
+}
+
+std::vector<gather_group>
+entry_query::groups_of(const std::vector<std::size_t>& lanes)
+{
+    std::vector<delegate_zone> zones = context_.delegates.zones();
+    zones.erase(std::remove_if(zones.begin(), zones.end(),
+                    [this](const delegate_zone& z)
+                    {
+                        return std::find(zones_refused_.begin(),
+                                   zones_refused_.end(),
+                                   z.zone) != zones_refused_.end();
+                    }),
+        zones.end());
+    if (!gathers() || zones.empty() ||
+        message_.body.size() > config::max_delegated_body_bytes)
+    {
+        return {};
+    }
+    std::vector<shard_reach> reach;
+    reach.reserve(lanes.size());
+    for (const std::size_t i : lanes)
+    {
+        reach.push_back(context_.pool.reach_of(lanes_[i].service));
+    }
+    std::vector<gather_group> groups =
+        plan_groups(reach, zones, context_.random);
+    for (gather_group& group : groups)
+    {
+        for (std::size_t& shard : group.shards)
+        {
+            shard = lanes[shard];
+        }
+    }
+    return groups;
+}
+
+/// The delegate hands shards back when this VM would hedge them. Without a
+/// budget for hedges it waits for them as long as a partial answer does.
+gather_order
+entry_query::order_for(const gather_group& group) const
+{
+    const monotonic_time now = monotonic_clock::now();
+    const gather_progress p = progress(now);
+    gather_order order;
+    order.message = message_;
+    order.message.time_left = time_left(now);
+    const std::string& any = lanes_[group.shards.front()].service;
+    const duration patient =
+        partial_answer_time(p) - p.elapsed - config::delegate_margin;
+    const bool hedges = context_.pool.has_extra(any, 1);
+    order.reply_within =
+        std::max(hedges ? hedge_time() : patient, hedge_time());
+    order.expected = expected_latency();
+    order.result_limit = route_.result_limit;
+    std::size_t others = 0;
+    for (const lane& l : lanes_)
+    {
+        others += l.failed ? 0 : 1;
+    }
+    others -= group.shards.size();
+    const auto required = static_cast<std::size_t>(
+        std::ceil(route_.min_coverage * static_cast<double>(lanes_.size())));
+    order.least_parts = required > others ? required - others : 1;
+    for (const std::size_t i : group.shards)
+    {
+        order.shards.push_back(lanes_[i].service);
+    }
+    return order;
+}
+
+void
+entry_query::delegate(gather_group&& group)
+{
+    const auto id = std::make_shared<order_id>(0);
+    *id = context_.delegates.send(group.zone, order_for(group),
+        [self = shared_from_this(), id](delegate_reply&& reply)
+        { self->on_delegate(*id, std::move(reply)); });
+    for (const std::size_t i : group.shards)
+    {
+        lanes_[i].delegated = true;
+    }
+    delegations_.push_back({*id, group.zone, std::move(group.shards)});
+}
+
+void
+entry_query::on_delegate(order_id id, delegate_reply&& reply)
+{
+    const auto found = std::find_if(delegations_.begin(), delegations_.end(),
+        [&](const delegation& d) { return d.id == id; });
+    if (finished_ || found == delegations_.end())
+    {
+        return;
+    }
+    const delegation from = std::move(*found);
+    delegations_.erase(found);
+    for (const std::size_t i : from.lanes)
+    {
+        lanes_[i].delegated = false;
+    }
+    switch (reply.outcome)
+    {
+    case delegate_outcome::parts:
+        take_parts(from, std::move(reply.parts));
+        break;
+    case delegate_outcome::refused:
+        on_refusal(from);
+        break;
+    default:
+        for (const std::size_t i : from.lanes)
+        {
+            take_back(i, part_state::unknown);
+        }
+    }
+    advance();
+}
+
+/// Another zone may have room.
+void
+entry_query::on_refusal(const delegation& from)
+{
+    zones_refused_.push_back(from.zone);
+    send_first(from.lanes);
+}
+
+void
+entry_query::take_parts(const delegation& from, gather_parts&& parts)
+{
+    const monotonic_time now = monotonic_clock::now();
+    std::vector<std::string> handed_back;
+    for (std::size_t i = 0; i < from.lanes.size(); ++i)
+    {
+        lane& l = lanes_[from.lanes[i]];
+        gather_part& part = parts.parts[i];
+        if (part.state == part_state::answered)
+        {
+            l.answered = true;
+            l.reply.proof = std::move(part.proof);
+            note_latency(stats_, route_, part.took, now);
+            context_.counters.add(counter::shards_answered);
+        }
+        else
+        {
+            handed_back.push_back(l.service);
+        }
+    }
+    merged_records_.push_back(std::move(parts.records));
+    context_.counters.add(counter::shards_handed_back, handed_back.size());
+    log_handed_back(from.zone, from.lanes.size(), handed_back);
+    for (std::size_t i = 0; i < from.lanes.size(); ++i)
+    {
+        if (!lanes_[from.lanes[i]].answered)
+        {
+            // The delegate has asked the targets of its zone.
+            lane& l = lanes_[from.lanes[i]];
+            const auto asked = context_.pool.targets_in(l.service, from.zone);
+            l.tried.insert(l.tried.end(), asked.begin(), asked.end());
+            take_back(from.lanes[i], parts.parts[i].state);
+        }
+    }
+}
+
+void
+entry_query::take_back(std::size_t lane_index, part_state state)
+{
+    lane& l = lanes_[lane_index];
+    switch (state)
+    {
+    case part_state::unsent:
+        dispatch_or_wait(lane_index, send_reason::first);
+        return;
+    case part_state::rejected:
+        ++l.rejections;
+        l.reason = miss_reason::shed;
+        break;
+    default:
+        ++l.runs;
+        l.reason = miss_reason::deadline;
+    }
+    if (may_repeat(l))
+    {
+        dispatch_or_wait(lane_index, state == part_state::rejected
+                                         ? send_reason::retry
+                                         : send_reason::hedge);
+        return;
+    }
+    l.failed = true;
+}
+
+} // namespace bramleymux
--- a/src/entry_query_log.cpp
+++ b/src/entry_query_log.cpp
@@ -52,6 +52,21 @@
             {"missing", missing}});
 }
 
+void
+entry_query::log_handed_back(const std::string& zone, std::size_t asked,
+    const std::vector<std::string>& shards)
+{
+    const monotonic_time now = monotonic_clock::now();
+    if (!shards.empty() && context_.log.admits(event::shards_handed_back, now))
+    {
+        context_.log.write(event::shards_handed_back,
+            {{"request", message_.id}, {"zone", zone}, {"asked", asked},
+                {"services", shards},
+                {"elapsed_ms", milliseconds(now - started_)},
+                {"hedge_after_ms", milliseconds(hedge_time())}});
+    }
+}
+
 void
 entry_query::log_send(
     const lane& l, const target_state& target, send_reason reason)
@@ -62,16 +77,18 @@
     {
         return;
     }
-    const bool hedge = reason == send_reason::hedge;
     // The target of a send that still runs exists; that of a failed one may
     // have been forgotten.
+    const bool hedge = reason == send_reason::hedge && !l.sends.empty();
     const std::string former =
         hedge ? l.tried[l.tried.size() - 2]->record.id : std::string();
     context_.log.write(event::sub_request_repeated,
         {{"request", message_.id}, {"service", l.service},
             {"target", target.record.id}, {"zone", target.record.zone},
             {"instead_of", former},
-            {"why", hedge ? "slow" : std::string(to_string(l.reason))},
+            {"why", reason == send_reason::hedge
+                        ? "slow"
+                        : std::string(to_string(l.reason))},
             {"elapsed_ms", milliseconds(now - started_)},
             {"hedge_after_ms", milliseconds(hedge_time())},
             {"pace", target.pace},
--- a/src/entry_server.cpp
+++ b/src/entry_server.cpp
@@ -2,6 +2,7 @@
 
 #include "caller_connection.hpp"
 #include "config.hpp"
+#include "gather_job.hpp"
 #include "stream_socket.hpp"
 
 #include <algorithm>
@@ -142,7 +143,16 @@
     {
         handler = [this](http_request&& request,
                       const std::shared_ptr<caller_connection>& connection)
-        { peer_handler_(request.path, answer_on(connection)); };
+        {
+            if (request.path == gather_path)
+            {
+                serve_order(std::move(request), connection);
+            }
+            else
+            {
+                peer_handler_(request.path, answer_on(connection));
+            }
+        };
     }
     else if (from.role == listener::kind::local)
     {
@@ -161,7 +171,12 @@
         return refuse({}, fault_problems[static_cast<std::size_t>(fault)],
             run_state::not_run, "the request could not be read");
     };
-    const caller_limits limits = state_ ? state_->limits : caller_limits{};
+    caller_limits limits = state_ ? state_->limits : caller_limits{};
+    if (from.role == listener::kind::peers)
+    {
+        limits = {};
+        limits.max_body_bytes = config::max_order_bytes;
+    }
     auto connection = std::make_shared<caller_connection>(
         std::move(socket), limits, std::move(handler), on_fault);
     if (stopping_)
@@ -242,10 +257,47 @@
     }
     const auto query = std::make_shared<entry_query>(
         context_, state_, *rule, std::move(message), answer_on(connection));
-    connection->set_query(query);
+    connection->set_on_left(
+        [weak = std::weak_ptr<entry_query>(query)]
+        {
+            if (const auto q = weak.lock())
+            {
+                q->cancel();
+            }
+        });
     query->start();
 }
 
+void
+entry_server::serve_order(http_request&& request,
+    const std::shared_ptr<caller_connection>& connection)
+{
+    const bool takes_orders = informed_ && !stopping_;
+    http_reply out;
+    auto order = decode_order(request.body);
+    if (request.body.empty() || !takes_orders || !order)
+    {
+        const bool readable = request.body.empty() || order;
+        const auto code = readable ? problem_code::stopping
+                                   : problem_code::invalid_request;
+        constexpr int ok = 200;
+        out.status = readable && takes_orders ? ok : info_of(code).status;
+        connection->answer(std::move(out));
+        return;
+    }
+    const auto job = std::make_shared<gather_job>(
+        context_, std::move(*order), answer_on(connection));
+    connection->set_on_left(
+        [weak = std::weak_ptr<gather_job>(job)]
+        {
+            if (const auto j = weak.lock())
+            {
+                j->cancel();
+            }
+        });
+    job->start();
+}
+
 bool
 entry_server::adopt(std::shared_ptr<const desired_state> state)
 {
@@ -290,10 +342,10 @@
         return std::any_of(route.shares.begin(), route.shares.end(),
             [&](const service_share& s) { return is_served(s.service); });
     }
-    const auto served =
-        std::count_if(route.shards.begin(), route.shards.end(), is_served);
-    return static_cast<double>(served) >=
-           route.min_coverage * static_cast<double>(route.shards.size());
+    return is_enough(
+        static_cast<std::size_t>(std::count_if(
+            route.shards.begin(), route.shards.end(), is_served)),
+        route.shards.size(), route.min_coverage);
 }
 
 /// Some route cannot be served for lack of targets in other zones, and no
--- a/src/entry_server.hpp
+++ b/src/entry_server.hpp
@@ -84,6 +84,10 @@
     void
     route(caller_message&& message,
         const std::shared_ptr<caller_connection>& connection);
+    /// Asks shards on behalf of a VM in another zone.
+    void
+    serve_order(http_request&& request,
+        const std::shared_ptr<caller_connection>& connection);
     http_reply
     local_reply(const std::string& path) const;
     http_reply
--- a/src/extra_load_window.cpp
+++ b/src/extra_load_window.cpp
@@ -43,11 +43,10 @@
 }
 
 bool
-take_extra(extra_load_window& window, const extra_load_limits& limits,
-    std::size_t vms, monotonic_time now)
+has_extra(const extra_load_window& window, const extra_load_limits& limits,
+    std::size_t vms, std::size_t sends, monotonic_time now)
 {
     const std::int64_t epoch = epoch_of(limits, now);
-    auto& bucket = current(window, epoch);
     double first = 0;
     double extra = 0;
     for (const auto& b : window.buckets)
@@ -65,11 +64,18 @@
         limits.slack / static_cast<double>(std::max<std::size_t>(vms, 1));
     const double allowed =
         config::extra_load_margin * (limits.ratio * counted + slack);
-    if (extra + 1.0 > allowed)
+    return extra + static_cast<double>(sends) <= allowed;
+}
+
+bool
+take_extra(extra_load_window& window, const extra_load_limits& limits,
+    std::size_t vms, monotonic_time now)
+{
+    if (!has_extra(window, limits, vms, 1, now))
     {
         return false;
     }
-    ++bucket.extra;
+    ++current(window, epoch_of(limits, now)).extra;
     return true;
 }
 
--- a/src/extra_load_window.hpp
+++ b/src/extra_load_window.hpp
@@ -38,6 +38,11 @@
 note_first(extra_load_window& window, const extra_load_limits& limits,
     monotonic_time now);
 
+/// Whether the window has room for `sends` extra sends.
+bool
+has_extra(const extra_load_window& window, const extra_load_limits& limits,
+    std::size_t vms, std::size_t sends, monotonic_time now);
+
 /// Counts one extra send, or returns false when the window has no room for it.
 bool
 take_extra(extra_load_window& window, const extra_load_limits& limits,
--- a/src/gather.cpp
+++ b/src/gather.cpp
@@ -16,10 +16,11 @@
 bool
 enough(const gather_progress& p, std::size_t shards)
 {
-    return static_cast<double>(shards) + rounding >=
-           p.min_coverage * static_cast<double>(p.shards);
+    return is_enough(shards, p.shards, p.min_coverage);
 }
 
+} // namespace
+
 duration
 partial_answer_time(const gather_progress& p)
 {
@@ -27,8 +28,6 @@
         duration(p.target_latency / 2));
 }
 
-} // namespace
-
 std::string
 merge_records(const std::vector<std::string_view>& parts, std::size_t limit)
 {
@@ -54,6 +53,13 @@
     return out;
 }
 
+bool
+is_enough(std::size_t shards, std::size_t of, double min_coverage)
+{
+    return static_cast<double>(shards) + rounding >=
+           min_coverage * static_cast<double>(of);
+}
+
 bool
 covers(const gather_progress& p)
 {
--- a/src/gather.hpp
+++ b/src/gather.hpp
@@ -36,6 +36,10 @@
     count
 };
 
+/// Whether the share of shards reaches `min_coverage`.
+bool
+is_enough(std::size_t shards, std::size_t of, double min_coverage);
+
 bool
 covers(const gather_progress& progress);
 
@@ -45,6 +49,10 @@
 gather_step
 next_step(const gather_progress& progress);
 
+/// Elapsed time at which a partial answer goes out.
+duration
+partial_answer_time(const gather_progress& progress);
+
 /// Elapsed time at which `next_step` can change without another reply.
 duration
 next_decision(const gather_progress& progress);
--- /dev/null
+++ b/src/gather_delegates.cpp
@@ -0,0 +1,309 @@
+#include "gather_delegates.hpp"
+
+#include "config.hpp"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace bramleymux
+{
+
+namespace
+{
+
+constexpr int status_ok = 200;
+constexpr int status_unavailable = 503;
+
+std::uint64_t
+rank_of(const std::string& self, const registered_vm& vm)
+{
+    const std::string key = self + "/" + vm.id;
+    return XXH64(key.data(), key.size(), 0);
+}
+
+/// The delegates of `self` in every other zone.
+std::vector<registered_vm>
+plan_delegates(const std::vector<registered_vm>& vms, const std::string& self,
+    const std::string& zone)
+{
+    std::map<std::string, std::vector<std::pair<std::uint64_t, std::size_t>>>
+        ranked;
+    for (std::size_t i = 0; i < vms.size(); ++i)
+    {
+        if (vms[i].zone != zone)
+        {
+            ranked[vms[i].zone].emplace_back(rank_of(self, vms[i]), i);
+        }
+    }
+    std::vector<registered_vm> out;
+    for (auto& [name, members] : ranked)
+    {
+        std::sort(members.begin(), members.end());
+        members.resize(std::min(members.size(), config::delegates_per_zone));
+        for (const auto& [rank, index] : members)
+        {
+            out.push_back(vms[index]);
+        }
+    }
+    return out;
+}
+
+} // namespace
+
+/// One connection to a delegate, with one order at a time.
+struct gather_delegates::lane
+{
+    lane(boost::asio::io_context& loop, const std::string& address)
+        : channel(loop, address)
+    {
+    }
+
+    call_channel channel;
+    order_id order = 0; ///< 0 = free
+    reply_handler handler;
+};
+
+struct gather_delegates::delegate
+{
+    delegate(boost::asio::io_context& loop, const registered_vm& v)
+        : vm(v), probe_channel(loop, v.peer_address)
+    {
+    }
+
+    std::size_t
+    running() const
+    {
+        return static_cast<std::size_t>(std::count_if(lanes.begin(),
+            lanes.end(), [](const auto& l) { return l->order != 0; }));
+    }
+
+    registered_vm vm;
+    std::vector<std::unique_ptr<lane>> lanes;
+    call_channel probe_channel;
+    bool blocked = false;
+    bool probing = false;
+    std::uint32_t failures = 0;
+    monotonic_time probe_at{};
+};
+
+gather_delegates::gather_delegates(boost::asio::io_context& loop,
+    metrics& counters, decision_log& log, std::string vm_id, std::string zone)
+    : loop_(loop), metrics_(counters), log_(log), vm_id_(std::move(vm_id)),
+      zone_(std::move(zone)), random_(std::random_device{}())
+{
+}
+
+gather_delegates::~gather_delegates() = default;
+
+void
+gather_delegates::set_vms(const std::vector<registered_vm>& vms)
+{
+    std::vector<std::shared_ptr<delegate>> kept;
+    for (const registered_vm& vm : plan_delegates(vms, vm_id_, zone_))
+    {
+        const auto found = std::find_if(delegates_.begin(), delegates_.end(),
+            [&](const auto& d)
+            {
+                return d->vm.id == vm.id &&
+                       d->vm.peer_address == vm.peer_address;
+            });
+        kept.push_back(found == delegates_.end()
+                           ? std::make_shared<delegate>(loop_, vm)
+                           : *found);
+    }
+    // A delegate that is left out stays until its orders are answered.
+    for (const auto& d : delegates_)
+    {
+        const bool dropped =
+            std::find(kept.begin(), kept.end(), d) == kept.end();
+        if (dropped && d->running() > 0)
+        {
+            block(*d, "no longer registered");
+            kept.push_back(d);
+        }
+    }
+    delegates_ = std::move(kept);
+}
+
+std::vector<delegate_zone>
+gather_delegates::zones() const
+{
+    std::vector<delegate_zone> out;
+    for (const auto& d : delegates_)
+    {
+        const bool known = std::any_of(out.begin(), out.end(),
+            [&](const delegate_zone& z) { return z.zone == d->vm.zone; });
+        if (!d->blocked && !known)
+        {
+            const auto share = handed_back_.find(d->vm.zone);
+            out.push_back({d->vm.zone,
+                share == handed_back_.end() ? 0.0 : share->second});
+        }
+    }
+    return out;
+}
+
+/// The sound delegate of the zone with the fewest orders.
+std::shared_ptr<gather_delegates::delegate>
+gather_delegates::pick(const std::string& zone)
+{
+    std::shared_ptr<delegate> best;
+    std::size_t ties = 0;
+    for (const auto& d : delegates_)
+    {
+        if (d->blocked || d->vm.zone != zone)
+        {
+            continue;
+        }
+        const bool fewer = !best || d->running() < best->running();
+        const bool equal = !fewer && d->running() == best->running();
+        ties = fewer ? 1 : ties + (equal ? 1 : 0);
+        if (fewer || (equal && random_() % ties == 0))
+        {
+            best = d;
+        }
+    }
+    return best;
+}
+
+order_id
+gather_delegates::send(
+    const std::string& zone, const gather_order& order, reply_handler handler)
+{
+    const std::shared_ptr<delegate> d = pick(zone);
+    auto found = std::find_if(d->lanes.begin(), d->lanes.end(),
+        [](const auto& l) { return l->order == 0; });
+    if (found == d->lanes.end())
+    {
+        d->lanes.push_back(std::make_unique<lane>(loop_, d->vm.peer_address));
+        found = std::prev(d->lanes.end());
+    }
+    lane& l = **found;
+    l.order = ++last_order_;
+    l.handler = std::move(handler);
+    metrics_.add(counter::gather_orders_sent);
+    l.channel.call({"POST", std::string(gather_path), encode_order(order),
+                       "application/cbor"},
+        order.reply_within + config::delegate_margin,
+        [this, d, &l, asked = order.shards.size()](call_reply&& reply)
+        { on_reply(d, l, asked, std::move(reply)); });
+    return l.order;
+}
+
+void
+gather_delegates::on_reply(const std::shared_ptr<delegate>& d, lane& l,
+    std::size_t asked, call_reply&& reply)
+{
+    const reply_handler handler = std::move(l.handler);
+    l.order = 0;
+    l.handler = nullptr;
+    delegate_reply out;
+    double without_answer = 1.0;
+    auto parts =
+        reply.status == status_ok ? decode_parts(reply.body) : std::nullopt;
+    if (parts && parts->parts.size() == asked)
+    {
+        out.outcome = delegate_outcome::parts;
+        out.parts = std::move(*parts);
+        const auto answered = std::count_if(out.parts.parts.begin(),
+            out.parts.parts.end(), [](const gather_part& p)
+            { return p.state == part_state::answered; });
+        without_answer =
+            1.0 - static_cast<double>(answered) / static_cast<double>(asked);
+        d->failures = 0;
+    }
+    else if (reply.status == status_unavailable || reply.unsent)
+    {
+        out.outcome = delegate_outcome::refused;
+    }
+    if (reply.status != status_unavailable &&
+        out.outcome != delegate_outcome::parts)
+    {
+        block(*d, reply.unsent ? "no connection" : "silent");
+    }
+    double& share = handed_back_[d->vm.zone];
+    share += config::handed_back_gain * (without_answer - share);
+    handler(std::move(out));
+}
+
+void
+gather_delegates::abandon(order_id id)
+{
+    for (const auto& d : delegates_)
+    {
+        for (const auto& l : d->lanes)
+        {
+            if (l->order == id)
+            {
+                l->order = 0;
+                l->handler = nullptr;
+                l->channel.cancel();
+                return;
+            }
+        }
+    }
+}
+
+void
+gather_delegates::block(delegate& d, std::string_view reason)
+{
+    const auto step = std::min<std::uint32_t>(d.failures, 8);
+    const duration wait = std::min<duration>(config::delegate_block_max,
+        duration(config::delegate_block_base) * (1U << step));
+    ++d.failures;
+    d.probe_at = monotonic_clock::now() + wait;
+    if (!d.blocked)
+    {
+        d.blocked = true;
+        metrics_.add(counter::delegates_lost);
+        log_delegate(event::delegate_lost, d, reason);
+    }
+}
+
+void
+gather_delegates::probe(const std::shared_ptr<delegate>& d)
+{
+    d->probing = true;
+    d->probe_channel.call({"GET", std::string(gather_path), {}, {}},
+        config::delegate_probe_timeout,
+        [this, d](call_reply&& reply)
+        {
+            d->probing = false;
+            if (reply.status == status_ok)
+            {
+                d->blocked = false;
+                log_delegate(event::delegate_regained, *d, "answered a probe");
+                return;
+            }
+            block(*d, "did not answer a probe");
+        });
+}
+
+void
+gather_delegates::tick()
+{
+    const monotonic_time now = monotonic_clock::now();
+    for (const auto& d : delegates_)
+    {
+        if (d->blocked && !d->probing && now >= d->probe_at)
+        {
+            probe(d);
+        }
+    }
+}
+
+void
+gather_delegates::log_delegate(
+    event what, const delegate& d, std::string_view reason)
+{
+    if (log_.admits(what, monotonic_clock::now()))
+    {
+        log_.write(what,
+            {{"vm", d.vm.id}, {"zone", d.vm.zone},
+                {"address", d.vm.peer_address}, {"reason", reason},
+                {"failures", d.failures}});
+    }
+}
+
+} // namespace bramleymux
--- /dev/null
+++ b/src/gather_delegates.hpp
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "call_channel.hpp"
+#include "decision_log.hpp"
+#include "gather_order.hpp"
+#include "gather_plan.hpp"
+#include "metrics.hpp"
+#include "relay_plan.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+/// VMs of other zones that ask shards on behalf of this one.
+namespace bramleymux
+{
+
+enum class delegate_outcome
+{
+    parts,
+    refused, ///< nothing was sent to a target
+    silent,  ///< no reply; targets may have run the request
+    count
+};
+
+struct delegate_reply
+{
+    delegate_outcome outcome = delegate_outcome::silent;
+    gather_parts parts;
+};
+
+using order_id = std::uint64_t;
+
+class gather_delegates
+{
+public:
+    using reply_handler = std::function<void(delegate_reply&&)>;
+
+    gather_delegates(boost::asio::io_context& loop, metrics& counters,
+        decision_log& log, std::string vm_id, std::string zone);
+    ~gather_delegates();
+
+    /// VMs that are registered. Each VM has a few delegates a zone, spread by
+    /// rendezvous hash, so that their connections are in steady use.
+    void
+    set_vms(const std::vector<registered_vm>& vms);
+
+    /// Zones with a delegate that is sound.
+    std::vector<delegate_zone>
+    zones() const;
+
+    /// `handler` is called later. The zone must be one of `zones`.
+    order_id
+    send(const std::string& zone, const gather_order& order,
+        reply_handler handler);
+
+    /// The reply is no longer wanted: `handler` is not called and the delegate
+    /// ends the work.
+    void
+    abandon(order_id id);
+
+    /// Asks delegates that were silent whether they are back.
+    void
+    tick();
+
+private:
+    struct lane;
+    struct delegate;
+
+    std::shared_ptr<delegate>
+    pick(const std::string& zone);
+    void
+    on_reply(const std::shared_ptr<delegate>& d, lane& l, std::size_t asked,
+        call_reply&& reply);
+    void
+    block(delegate& d, std::string_view reason);
+    void
+    probe(const std::shared_ptr<delegate>& d);
+    void
+    log_delegate(event what, const delegate& d, std::string_view reason);
+
+    boost::asio::io_context& loop_;
+    metrics& metrics_;
+    decision_log& log_;
+    std::string vm_id_;
+    std::string zone_;
+    std::vector<std::shared_ptr<delegate>> delegates_;
+    std::map<std::string, double> handed_back_; ///< by zone
+    order_id last_order_ = 0;
+    std::mt19937_64 random_;
+};
+
+} // namespace bramleymux
--- /dev/null
+++ b/src/gather_order.cpp
@@ -0,0 +1,159 @@
+#include "gather_order.hpp"
+
+#include "config.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace bramleymux
+{
+
+using nlohmann::json;
+
+namespace
+{
+
+std::int64_t
+microseconds(duration d)
+{
+    return std::chrono::duration_cast<std::chrono::microseconds>(d).count();
+}
+
+duration
+duration_of(const json& value)
+{
+    return std::chrono::microseconds(std::clamp<std::int64_t>(
+        value.get<std::int64_t>(), 0, microseconds(config::max_order_time)));
+}
+
+json
+binary(const std::string& bytes)
+{
+    return json::binary(
+        std::vector<std::uint8_t>(bytes.begin(), bytes.end()));
+}
+
+std::string
+bytes_of(const json& value)
+{
+    const auto& bytes = value.get_binary();
+    return {bytes.begin(), bytes.end()};
+}
+
+} // namespace
+
+std::string
+encode_order(const gather_order& order)
+{
+    json fields = json::array();
+    for (const header_field& field : order.message.forwarded)
+    {
+        fields.push_back({field.name, field.value});
+    }
+    const caller_message& m = order.message;
+    std::string out;
+    json::to_cbor(
+        json{{"id", m.id}, {"host", m.host}, {"method", m.method},
+            {"path", m.path}, {"fields", std::move(fields)},
+            {"body", binary(m.body)},
+            {"left", microseconds(m.time_left.value_or(duration::zero()))},
+            {"within", microseconds(order.reply_within)},
+            {"expected", microseconds(order.expected)},
+            {"limit", order.result_limit}, {"least", order.least_parts},
+            {"shards", order.shards}},
+        out);
+    return out;
+}
+
+std::optional<gather_order>
+decode_order(const std::string& bytes)
+{
+    try
+    {
+        const json value = json::from_cbor(bytes);
+        gather_order out;
+        caller_message& m = out.message;
+        m.id = value.at("id").get<std::string>();
+        m.host = value.at("host").get<std::string>();
+        m.method = value.at("method").get<std::string>();
+        m.path = value.at("path").get<std::string>();
+        for (const json& field : value.at("fields"))
+        {
+            m.forwarded.push_back({field.at(0).get<std::string>(),
+                field.at(1).get<std::string>()});
+        }
+        m.body = bytes_of(value.at("body"));
+        m.time_left = duration_of(value.at("left"));
+        out.reply_within = duration_of(value.at("within"));
+        out.expected = duration_of(value.at("expected"));
+        out.result_limit = value.at("limit").get<std::size_t>();
+        out.least_parts = value.at("least").get<std::size_t>();
+        out.shards = value.at("shards").get<std::vector<std::string>>();
+        return out.shards.empty() ? std::nullopt
+                                  : std::optional<gather_order>(std::move(out));
+    }
+    catch (const json::exception&)
+    {
+        return std::nullopt;
+    }
+}
+
+std::string
+encode_parts(const gather_parts& parts)
+{
+    json states = json::array();
+    json proofs = json::array();
+    json times = json::array();
+    for (const gather_part& part : parts.parts)
+    {
+        states.push_back(static_cast<int>(part.state));
+        if (part.state == part_state::answered)
+        {
+            proofs.push_back(part.proof);
+            times.push_back(microseconds(part.took));
+        }
+    }
+    std::string out;
+    json::to_cbor(json{{"states", std::move(states)},
+                      {"proofs", std::move(proofs)},
+                      {"times", std::move(times)},
+                      {"records", binary(parts.records)}},
+        out);
+    return out;
+}
+
+std::optional<gather_parts>
+decode_parts(const std::string& bytes)
+{
+    try
+    {
+        const json value = json::from_cbor(bytes);
+        gather_parts out;
+        std::size_t answered = 0;
+        for (const json& state : value.at("states"))
+        {
+            gather_part part;
+            const auto number = state.get<std::size_t>();
+            if (number >= static_cast<std::size_t>(part_state::count))
+            {
+                return std::nullopt;
+            }
+            part.state = static_cast<part_state>(number);
+            if (part.state == part_state::answered)
+            {
+                part.proof =
+                    value.at("proofs").at(answered).get<std::string>();
+                part.took = duration_of(value.at("times").at(answered));
+                ++answered;
+            }
+            out.parts.push_back(std::move(part));
+        }
+        out.records = bytes_of(value.at("records"));
+        return out;
+    }
+    catch (const json::exception&)
+    {
+        return std::nullopt;
+    }
+}
+
+} // namespace bramleymux
--- a/src/log_events.cpp
+++ b/src/log_events.cpp
@@ -98,6 +98,14 @@
             "A caller's bytes were refused."},
         {1309, level::info, "store_followed",
             "This VM follows the store itself, or only its relays."},
+        {1608, level::info, "gather_order_refused",
+            "An order of a VM in another zone was refused for lack of room."},
+        {1609, level::info, "shards_handed_back",
+            "A VM in another zone answered an order without all shards."},
+        {1310, level::warning, "delegate_lost",
+            "A VM in another zone that takes orders became silent."},
+        {1311, level::info, "delegate_regained",
+            "A VM in another zone takes orders again."},
     }};
 
 spdlog::level::level_enum
--- a/src/log_events.hpp
+++ b/src/log_events.hpp
@@ -62,6 +62,10 @@
     caller_left,
     caller_input_refused,
     store_followed,
+    gather_order_refused,
+    shards_handed_back,
+    delegate_lost,
+    delegate_regained,
     count
 };
 
--- a/src/target_choice.cpp
+++ b/src/target_choice.cpp
@@ -210,6 +210,11 @@
     {
         return false;
     }
+    if (context.scope == choice_scope::own_zone && context.zone != nullptr &&
+        target.record.zone != *context.zone)
+    {
+        return false;
+    }
     if (context.zones_out != nullptr &&
         std::find(context.zones_out->begin(), context.zones_out->end(),
             target.record.zone) != context.zones_out->end())
--- a/src/target_choice.hpp
+++ b/src/target_choice.hpp
@@ -101,6 +101,13 @@
 bool
 is_crowded(const target_state& target, monotonic_time now);
 
+enum class choice_scope
+{
+    any_zone,
+    own_zone, ///< only targets in the zone of this VM
+    count
+};
+
 /// What a choice depends on besides the targets.
 struct choice_context
 {
@@ -110,6 +117,7 @@
     std::size_t vms = 1;    ///< VMs that may send to a cold target
     double cold_rate = 0.0; ///< requests a second of all VMs; 0 = any
     const std::vector<const target_state*>* tried = nullptr;
+    choice_scope scope = choice_scope::any_zone;
 };
 
 /// Whether the target may get a request when it has room. A lapsed or leaving
--- a/src/target_pool.cpp
+++ b/src/target_pool.cpp
@@ -44,6 +44,14 @@
 
 } // namespace
 
+bool
+is_part(const send_result& result)
+{
+    constexpr int first_redirect = 300;
+    return result.outcome == send_outcome::good &&
+           result.reply.status < first_redirect;
+}
+
 target_pool::target_pool(boost::asio::io_context& loop, const entry_wire& wire,
     metrics& counters, decision_log& log, pool_options options)
     : loop_(loop), wire_(wire), metrics_(counters), log_(log),
@@ -175,26 +183,29 @@
 }
 
 target_state*
-target_pool::choose(
-    const std::string& service, const std::vector<const target_state*>& tried)
+target_pool::choose(const std::string& service,
+    const std::vector<const target_state*>& tried, choice_scope scope)
 {
     service_state& s = service_of(service);
     choice_context context = context_of(&s);
     context.tried = &tried;
+    context.scope = scope;
     return choose_target(s.targets, context, random_);
 }
 
 /// Whether some usable target of the service passes `test`.
 template <class Test>
 bool
-target_pool::any_usable(const std::string& service, Test test) const
+target_pool::any_usable(
+    const std::string& service, choice_scope scope, Test test) const
 {
     const auto found = services_.find(service);
     if (found == services_.end())
     {
         return false;
     }
-    const choice_context context = context_of(found->second.get());
+    choice_context context = context_of(found->second.get());
+    context.scope = scope;
     return std::any_of(found->second->targets.begin(),
         found->second->targets.end(),
         [&](const target_state* t)
@@ -205,18 +216,63 @@
 target_pool::is_served(const std::string& service,
     const std::vector<const target_state*>& tried) const
 {
-    return any_usable(service, [&](const target_state& t)
+    return any_usable(service, choice_scope::any_zone,
+        [&](const target_state& t)
         { return std::find(tried.begin(), tried.end(), &t) == tried.end(); });
 }
 
 bool
-target_pool::has_room(const std::string& service) const
+target_pool::has_room(const std::string& service, choice_scope scope) const
 {
     const monotonic_time now = monotonic_clock::now();
-    return any_usable(service,
+    return any_usable(service, scope,
         [&](const target_state& t) { return !t.full && !is_crowded(t, now); });
 }
 
+shard_reach
+target_pool::reach_of(const std::string& service) const
+{
+    shard_reach out;
+    const auto found = services_.find(service);
+    if (found == services_.end())
+    {
+        return out;
+    }
+    const choice_context context = context_of(found->second.get());
+    for (const target_state* t : found->second->targets)
+    {
+        const std::string& zone = t->record.zone;
+        if (!is_usable(*t, context, false))
+        {
+            continue;
+        }
+        out.own_zone = out.own_zone || zone == options_.zone;
+        const bool known =
+            std::find(out.zones.begin(), out.zones.end(), zone) !=
+            out.zones.end();
+        if (zone != options_.zone && !known)
+        {
+            out.zones.push_back(zone);
+        }
+    }
+    return out;
+}
+
+std::vector<const target_state*>
+target_pool::targets_in(
+    const std::string& service, const std::string& zone) const
+{
+    std::vector<const target_state*> out;
+    const auto found = services_.find(service);
+    if (found != services_.end())
+    {
+        const auto& targets = found->second->targets;
+        std::copy_if(targets.begin(), targets.end(), std::back_inserter(out),
+            [&](const target_state* t) { return t->record.zone == zone; });
+    }
+    return out;
+}
+
 bool
 target_pool::wait_for_room(const std::string& service, monotonic_time stale_at,
     std::function<bool()> ready)
@@ -308,6 +364,15 @@
         service_of(service).extra, options_.extra_load, monotonic_clock::now());
 }
 
+bool
+target_pool::has_extra(const std::string& service, std::size_t sends) const
+{
+    const auto found = services_.find(service);
+    return found != services_.end() &&
+           bramleymux::has_extra(found->second->extra, options_.extra_load,
+               vms_, sends, monotonic_clock::now());
+}
+
 bool
 target_pool::take_extra(const std::string& service)
 {
--- a/src/target_pool.hpp
+++ b/src/target_pool.hpp
@@ -2,6 +2,7 @@
 
 #include "decision_log.hpp"
 #include "extra_load_window.hpp"
+#include "gather_plan.hpp"
 #include "metrics.hpp"
 #include "target_choice.hpp"
 #include "target_link.hpp"
@@ -43,6 +44,10 @@
     std::function<void(send_result&&)> done; ///< called at most once, later
 };
 
+/// Whether the reply is a part of a gathered answer.
+bool
+is_part(const send_result& result);
+
 using send_id = std::uint64_t;
 
 class target_pool
@@ -77,7 +82,8 @@
     /// Null when no target can take a request now.
     target_state*
     choose(const std::string& service,
-        const std::vector<const target_state*>& tried);
+        const std::vector<const target_state*>& tried,
+        choice_scope scope = choice_scope::any_zone);
 
     /// Whether some target of the service besides `tried` could take a request
     /// now or as soon as it has room.
@@ -87,7 +93,16 @@
 
     /// Whether some target of the service could take a request now.
     bool
-    has_room(const std::string& service) const;
+    has_room(const std::string& service,
+        choice_scope scope = choice_scope::any_zone) const;
+
+    /// Zones in which a target of the service can be used.
+    shard_reach
+    reach_of(const std::string& service) const;
+
+    /// Targets of the service in a zone.
+    std::vector<const target_state*>
+    targets_in(const std::string& service, const std::string& zone) const;
 
     /// Calls `ready` when a target of the service may have room; it returns
     /// false when the request no longer waits. After `stale_at` other requests
@@ -117,6 +132,10 @@
     void
     count_first(const std::string& service);
 
+    /// Whether the budget has room for `sends` hedges or retries.
+    bool
+    has_extra(const std::string& service, std::size_t sends) const;
+
     /// Counts a hedge or retry; false when the budget has no room.
     bool
     take_extra(const std::string& service);
@@ -152,7 +171,8 @@
 
     template <class Test>
     bool
-    any_usable(const std::string& service, Test test) const;
+    any_usable(
+        const std::string& service, choice_scope scope, Test test) const;
     choice_context
     context_of(const service_state* service) const;
     void
--- a/tests/entry_fixture.hpp
+++ b/tests/entry_fixture.hpp
@@ -298,11 +298,13 @@
         : null_device(::open("/dev/null", O_WRONLY)), log("vm-1", null_device),
           random(1), pool(loop, platform::wire(), counters, log,
                          {"north", {0.2, 100.0, 10s}}),
-          context{loop, pool, platform::wire(), counters, log, routes, random},
+          delegates(loop, counters, log, "vm-1", "north"),
+          context{loop, pool, delegates, platform::wire(), counters, log, routes, random},
           server(context, {200ms, 400ms})
     {
         pool.set_vms(1);
-        REQUIRE(server.listen("127.0.0.1:0", "127.0.0.1:0", "", ""));
+        REQUIRE(server.listen(
+            "127.0.0.1:0", "127.0.0.1:0", "", "127.0.0.1:0"));
         tick();
     }
 
@@ -315,6 +317,7 @@
     tick()
     {
         pool.tick();
+        delegates.tick();
         server.tick();
         timer.expires_after(10ms);
         timer.async_wait(
@@ -376,6 +379,7 @@
     std::mt19937_64 random;
     std::unordered_map<std::string, route_stats> routes;
     target_pool pool;
+    gather_delegates delegates;
     entry_context context;
     entry_server server;
     boost::asio::steady_timer timer{loop};
