Give a zone of few VMs one store relay

Change: a zone of one or two VMs has one relay. The other VM follows it and two relays of other zones, and the store itself with fewer than two sound ones or until it is informed after a start. A relay that leaves a poll without an answer counts as silent at once.

--- a/src/change_hub.cpp
+++ b/src/change_hub.cpp
@@ -159,7 +159,12 @@
     const auto delta =
         reply.status == status_ok ? decode_delta(reply.body) : std::nullopt;
     const bool was_sound = r.is_sound();
-    r.failures = delta ? 0 : r.failures + 1;
+    // A relay without an answer is silent at once: a poll has an answer before
+    // its time is over.
+    r.failures = delta ? 0
+                 : reply.status == 0 && !reply.unsent
+                     ? config::relay_max_failures
+                     : r.failures + 1;
     if (delta)
     {
         r.epoch = delta->epoch;
@@ -200,7 +205,10 @@
     {
         follow_until_ = now + config::follow_store_min;
     }
-    const bool follow = needed || now < follow_until_;
+    // With one relay in the zone, a start does not wait for relays that may
+    // start as well.
+    const bool starting = plan_.small_zone && !is_informed();
+    const bool follow = needed || starting || now < follow_until_;
     if (follow == follows_store_)
     {
         return;
@@ -272,7 +280,8 @@
     const monotonic_time now = monotonic_clock::now();
     answer_polls(now);
     forget_deletions(view_, now);
-    if (follows_store_ && !plan_.is_relay && now >= follow_until_)
+    if (follows_store_ && !plan_.is_relay && is_informed() &&
+        now >= follow_until_)
     {
         decide();
     }
--- a/src/relay_plan.cpp
+++ b/src/relay_plan.cpp
@@ -5,37 +5,96 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <map>
 
 namespace bramleymux
 {
 
-relay_plan
-plan_relays(const std::vector<registered_vm>& vms, const std::string& self_id,
-    const std::string& zone)
+namespace
+{
+
+using ranked_vms = std::vector<std::pair<std::uint64_t, const registered_vm*>>;
+
+std::uint64_t
+hash_of(const std::string& text)
+{
+    return XXH64(text.data(), text.size(), 0);
+}
+
+std::map<std::string, ranked_vms>
+rank_by_zone(const std::vector<registered_vm>& vms)
 {
-    std::vector<std::pair<std::uint64_t, const registered_vm*>> ranked;
+    std::map<std::string, ranked_vms> out;
     for (const registered_vm& vm : vms)
     {
-        if (vm.zone == zone)
+        out[vm.zone].emplace_back(hash_of(vm.id), &vm);
+    }
+    for (auto& [zone, members] : out)
+    {
+        std::sort(members.begin(), members.end());
+    }
+    return out;
+}
+
+/// First VMs of the other zones, which are relays whatever the size of their
+/// zone; another order for each VM, so that the followers spread.
+ranked_vms
+relays_of_other_zones(const std::map<std::string, ranked_vms>& zones,
+    const std::string& self_id, const std::string& zone)
+{
+    ranked_vms out;
+    for (const auto& [name, members] : zones)
+    {
+        if (name != zone)
         {
-            ranked.emplace_back(XXH64(vm.id.data(), vm.id.size(), 0), &vm);
+            const registered_vm* first = members.front().second;
+            out.emplace_back(hash_of(self_id + "/" + first->id), first);
         }
     }
-    std::sort(ranked.begin(), ranked.end());
-    ranked.resize(std::min(ranked.size(), config::change_relays_per_zone));
-    const bool self_ranked = std::any_of(ranked.begin(), ranked.end(),
-        [&](const auto& r) { return r.second->id == self_id; });
+    std::sort(out.begin(), out.end());
+    return out;
+}
+
+} // namespace
+
+relay_plan
+plan_relays(const std::vector<registered_vm>& vms, const std::string& self_id,
+    const std::string& zone)
+{
+    const auto zones = rank_by_zone(vms);
+    const auto own = zones.find(zone);
     relay_plan out;
-    // With few VMs in the zone, each follows the store.
-    out.is_relay =
-        self_ranked || ranked.size() < config::change_relays_per_zone;
-    if (!out.is_relay)
+    if (own == zones.end())
     {
-        for (const auto& [hash, vm] : ranked)
+        return out;
+    }
+    const ranked_vms& members = own->second;
+    out.small_zone = members.size() < config::change_relays_per_zone;
+    const std::size_t relays =
+        out.small_zone ? 1 : config::change_relays_per_zone;
+    out.is_relay = std::any_of(members.begin(),
+        members.begin() + static_cast<std::ptrdiff_t>(relays),
+        [&](const auto& r) { return r.second->id == self_id; });
+    if (out.is_relay)
+    {
+        return out;
+    }
+    for (std::size_t i = 0; i < relays; ++i)
+    {
+        out.relays.push_back(members[i].second->peer_address);
+    }
+    for (const auto& [hash, vm] : relays_of_other_zones(zones, self_id, zone))
+    {
+        if (out.relays.size() < config::change_relays_per_zone)
         {
             out.relays.push_back(vm->peer_address);
         }
     }
+    out.is_relay = out.relays.size() < config::min_sound_relays;
+    if (out.is_relay)
+    {
+        out.relays.clear();
+    }
     return out;
 }
 
--- a/src/relay_plan.hpp
+++ b/src/relay_plan.hpp
@@ -23,9 +23,11 @@
     /// This VM is a relay: it follows the store itself.
     bool is_relay = true;
     std::vector<std::string> relays; ///< addresses, when it is none
+    /// With few VMs a zone has one relay, and relays of other zones stand by.
+    bool small_zone = true;
 };
 
-/// The same relays for all VMs of a zone that know the same VMs. They change
+/// The same relays of a zone for all VMs that know the same VMs. They change
 /// little when VMs come and go (rendezvous hashing).
 relay_plan
 plan_relays(const std::vector<registered_vm>& vms, const std::string& self_id,
--- a/tests/test_change_hub.cpp
+++ b/tests/test_change_hub.cpp
@@ -183,6 +183,43 @@
     CHECK(plan_relays({}, "vm-0", "north").is_relay);
 }
 
+// Guards against a store that is followed by every VM of a small fleet, and
+// against a follower whose only relay is the one of its zone.
+TEST_CASE("a zone of few VMs has one relay and others stand by", "[entry]")
+{
+    std::vector<registered_vm> vms;
+    for (const char* zone : {"north", "south", "east", "west"})
+    {
+        for (const char* number : {"1", "2"})
+        {
+            const std::string id = std::string(zone) + number;
+            vms.push_back({id, zone, "10.0.0.1:" + std::to_string(vms.size())});
+        }
+    }
+    std::set<std::string> relays;
+    for (const registered_vm& vm : vms)
+    {
+        if (plan_relays(vms, vm.id, vm.zone).is_relay)
+        {
+            relays.insert(vm.peer_address);
+        }
+    }
+    CHECK(relays.size() == 4);
+    for (const registered_vm& vm : vms)
+    {
+        const relay_plan plan = plan_relays(vms, vm.id, vm.zone);
+        for (const std::string& address : plan.relays)
+        {
+            CHECK(relays.count(address) == 1);
+        }
+        CHECK(plan.relays.size() == (plan.is_relay ? 0 : 3));
+    }
+    // Two VMs of one zone have one relay between them, which is not enough.
+    vms.resize(2);
+    CHECK(plan_relays(vms, vms[0].id, "north").is_relay);
+    CHECK(plan_relays(vms, vms[1].id, "north").is_relay);
+}
+
 namespace
 {
 
