Test orders between zones and give them clang-format's layout

Cause: the path had no test of its own. Change: tests of the codec, the grouping and an entry VM with a delegate: whole answer, handed-back shard, silent delegate, refusal, caller that leaves.

--- a/src/call_channel.cpp
+++ b/src/call_channel.cpp
@@ -55,9 +55,10 @@
                " HTTP/1.1\r\nHost: " + address_ + "\r\n";
     if (!request.body.empty())
     {
-        request_ += "Content-Type: " + request.content_type +
-                    "\r\nContent-Length: " +
-                    std::to_string(request.body.size()) + "\r\n";
+        request_ +=
+            "Content-Type: " + request.content_type +
+            "\r\nContent-Length: " + std::to_string(request.body.size()) +
+            "\r\n";
     }
     request_ += "\r\n" + request.body;
     sent_ = false;
--- a/src/change_hub.cpp
+++ b/src/change_hub.cpp
@@ -144,11 +144,11 @@
 void
 change_hub::poll(relay& r)
 {
-    r.channel.call({"GET",
-                       std::string(changes_path) +
-                           "?epoch=" + std::to_string(r.epoch) +
-                           "&after=" + std::to_string(r.sequence),
-                       {}, {}},
+    r.channel.call(
+        {"GET",
+            std::string(changes_path) + "?epoch=" + std::to_string(r.epoch) +
+                "&after=" + std::to_string(r.sequence),
+            {}, {}},
         config::relay_poll_wait + config::relay_poll_margin,
         [this, &r](call_reply&& reply) { on_poll(r, std::move(reply)); });
 }
--- a/src/entry_query.cpp
+++ b/src/entry_query.cpp
@@ -274,8 +274,7 @@
     {
         return;
     }
-    if (result.outcome == send_outcome::good &&
-        (!gathers() || is_part(result)))
+    if (result.outcome == send_outcome::good && (!gathers() || is_part(result)))
     {
         on_good(l, std::move(result));
     }
@@ -468,8 +467,7 @@
 entry_query::may_have_run() const
 {
     return std::any_of(lanes_.begin(), lanes_.end(),
-        [](const lane& l)
-        {
+        [](const lane& l) {
             return l.answered || l.runs > 0 || !l.sends.empty() || l.delegated;
         });
 }
--- a/src/entry_server.cpp
+++ b/src/entry_server.cpp
@@ -278,8 +278,8 @@
     if (request.body.empty() || !takes_orders || !order)
     {
         const bool readable = request.body.empty() || order;
-        const auto code = readable ? problem_code::stopping
-                                   : problem_code::invalid_request;
+        const auto code =
+            readable ? problem_code::stopping : problem_code::invalid_request;
         constexpr int ok = 200;
         out.status = readable && takes_orders ? ok : info_of(code).status;
         connection->answer(std::move(out));
@@ -342,9 +342,8 @@
         return std::any_of(route.shares.begin(), route.shares.end(),
             [&](const service_share& s) { return is_served(s.service); });
     }
-    return is_enough(
-        static_cast<std::size_t>(std::count_if(
-            route.shards.begin(), route.shards.end(), is_served)),
+    return is_enough(static_cast<std::size_t>(std::count_if(
+                         route.shards.begin(), route.shards.end(), is_served)),
         route.shards.size(), route.min_coverage);
 }
 
--- a/src/gather_delegates.cpp
+++ b/src/gather_delegates.cpp
@@ -103,8 +103,7 @@
     for (const registered_vm& vm : plan_delegates(vms, vm_id_, zone_))
     {
         const auto found = std::find_if(delegates_.begin(), delegates_.end(),
-            [&](const auto& d)
-            {
+            [&](const auto& d) {
                 return d->vm.id == vm.id &&
                        d->vm.peer_address == vm.peer_address;
             });
@@ -206,9 +205,10 @@
     {
         out.outcome = delegate_outcome::parts;
         out.parts = std::move(*parts);
-        const auto answered = std::count_if(out.parts.parts.begin(),
-            out.parts.parts.end(), [](const gather_part& p)
-            { return p.state == part_state::answered; });
+        const auto answered =
+            std::count_if(out.parts.parts.begin(), out.parts.parts.end(),
+                [](const gather_part& p)
+                { return p.state == part_state::answered; });
         without_answer =
             1.0 - static_cast<double>(answered) / static_cast<double>(asked);
         d->failures = 0;
@@ -299,10 +299,9 @@
 {
     if (log_.admits(what, monotonic_clock::now()))
     {
-        log_.write(what,
-            {{"vm", d.vm.id}, {"zone", d.vm.zone},
-                {"address", d.vm.peer_address}, {"reason", reason},
-                {"failures", d.failures}});
+        log_.write(what, {{"vm", d.vm.id}, {"zone", d.vm.zone},
+                             {"address", d.vm.peer_address}, {"reason", reason},
+                             {"failures", d.failures}});
     }
 }
 
--- a/src/gather_job.cpp
+++ b/src/gather_job.cpp
@@ -44,9 +44,8 @@
     context_.counters.add(counter::gather_orders_received);
     const auto with_room = static_cast<std::size_t>(
         std::count_if(order_.shards.begin(), order_.shards.end(),
-            [this](const std::string& shard) {
-                return context_.pool.has_room(shard, choice_scope::own_zone);
-            }));
+            [this](const std::string& shard)
+            { return context_.pool.has_room(shard, choice_scope::own_zone); }));
     if (with_room < order_.least_parts)
     {
         refuse(with_room);
@@ -92,8 +91,8 @@
 void
 gather_job::send(std::size_t shard)
 {
-    target_state* target = context_.pool.choose(
-        order_.shards[shard], {}, choice_scope::own_zone);
+    target_state* target =
+        context_.pool.choose(order_.shards[shard], {}, choice_scope::own_zone);
     if (target == nullptr)
     {
         return;
--- a/src/gather_order.cpp
+++ b/src/gather_order.cpp
@@ -28,8 +28,7 @@
 json
 binary(const std::string& bytes)
 {
-    return json::binary(
-        std::vector<std::uint8_t>(bytes.begin(), bytes.end()));
+    return json::binary(std::vector<std::uint8_t>(bytes.begin(), bytes.end()));
 }
 
 std::string
@@ -113,10 +112,9 @@
         }
     }
     std::string out;
-    json::to_cbor(json{{"states", std::move(states)},
-                      {"proofs", std::move(proofs)},
-                      {"times", std::move(times)},
-                      {"records", binary(parts.records)}},
+    json::to_cbor(
+        json{{"states", std::move(states)}, {"proofs", std::move(proofs)},
+            {"times", std::move(times)}, {"records", binary(parts.records)}},
         out);
     return out;
 }
@@ -140,8 +138,7 @@
             part.state = static_cast<part_state>(number);
             if (part.state == part_state::answered)
             {
-                part.proof =
-                    value.at("proofs").at(answered).get<std::string>();
+                part.proof = value.at("proofs").at(answered).get<std::string>();
                 part.took = duration_of(value.at("times").at(answered));
                 ++answered;
             }
--- a/src/gather_plan.cpp
+++ b/src/gather_plan.cpp
@@ -71,8 +71,7 @@
             break;
         }
         open.erase(std::remove_if(open.begin(), open.end(),
-                       [&](std::size_t i)
-                       {
+                       [&](std::size_t i) {
                            return std::binary_search(
                                best.shards.begin(), best.shards.end(), i);
                        }),
--- a/src/target_pool.cpp
+++ b/src/target_pool.cpp
@@ -247,9 +247,8 @@
             continue;
         }
         out.own_zone = out.own_zone || zone == options_.zone;
-        const bool known =
-            std::find(out.zones.begin(), out.zones.end(), zone) !=
-            out.zones.end();
+        const bool known = std::find(out.zones.begin(), out.zones.end(),
+                               zone) != out.zones.end();
         if (zone != options_.zone && !known)
         {
             out.zones.push_back(zone);
--- a/src/target_pool.hpp
+++ b/src/target_pool.hpp
@@ -171,8 +171,7 @@
 
     template <class Test>
     bool
-    any_usable(
-        const std::string& service, choice_scope scope, Test test) const;
+    any_usable(const std::string& service, choice_scope scope, Test test) const;
     choice_context
     context_of(const service_state* service) const;
     void
--- a/tests/entry_fixture.hpp
+++ b/tests/entry_fixture.hpp
@@ -298,13 +298,15 @@
         : null_device(::open("/dev/null", O_WRONLY)), log("vm-1", null_device),
           random(1), pool(loop, platform::wire(), counters, log,
                          {"north", {0.2, 100.0, 10s}}),
-          delegates(loop, counters, log, "vm-1", "north"),
-          context{loop, pool, delegates, platform::wire(), counters, log, routes, random},
+          delegates(loop, counters, log, "vm-1", "north"), context{loop, pool,
+                                                               delegates,
+                                                               platform::wire(),
+                                                               counters, log,
+                                                               routes, random},
           server(context, {200ms, 400ms})
     {
         pool.set_vms(1);
-        REQUIRE(server.listen(
-            "127.0.0.1:0", "127.0.0.1:0", "", "127.0.0.1:0"));
+        REQUIRE(server.listen("127.0.0.1:0", "127.0.0.1:0", "", "127.0.0.1:0"));
         tick();
     }
 
--- /dev/null
+++ b/tests/test_gather_orders.cpp
@@ -0,0 +1,358 @@
+#include "entry_fixture.hpp"
+#include "gather_job.hpp"
+#include "property.hpp"
+
+#include <set>
+
+using namespace bramleymux;
+using namespace bramleymux::fixture;
+
+namespace
+{
+
+std::string
+record(char key)
+{
+    return std::string(15, '0') + key;
+}
+
+/// A VM of another zone on the loop of an entry VM.
+struct delegate_vm
+{
+    delegate_vm(entry_vm& other, const std::string& id, const std::string& z)
+        : zone(z), pool(other.loop, platform::wire(), other.counters, other.log,
+                       {z, {0.2, 100.0, 10s}}),
+          delegates(other.loop, other.counters, other.log, id, z),
+          context{other.loop, pool, delegates, platform::wire(), other.counters,
+              other.log, routes, other.random},
+          server(context, {200ms, 400ms}), id_(id)
+    {
+        pool.set_vms(1);
+        REQUIRE(server.listen("127.0.0.1:0", "127.0.0.1:0", "", "127.0.0.1:0"));
+        desired_state state;
+        state.version = 1;
+        server.adopt(std::make_shared<const desired_state>(std::move(state)));
+        server.set_informed(true);
+    }
+
+    registered_vm
+    registration() const
+    {
+        return {id_, zone, server.addresses().back()};
+    }
+
+    std::string zone;
+    std::unordered_map<std::string, route_stats> routes;
+    target_pool pool;
+    gather_delegates delegates;
+    entry_context context;
+    entry_server server;
+
+private:
+    std::string id_;
+};
+
+/// Targets of the services "s0", "s1", ... in a zone.
+struct zone_targets
+{
+    zone_targets(entry_vm& vm, const std::string& z, std::size_t services)
+        : zone(z)
+    {
+        for (std::size_t i = 0; i < services; ++i)
+        {
+            const std::string proof = zone + std::to_string(i);
+            targets.push_back(std::make_unique<stand_in_target>(vm.loop,
+                "t-" + proof,
+                [proof, i](const http_request& r) {
+                    return good(r, proof, record(static_cast<char>('1' + i)));
+                }));
+        }
+    }
+
+    void
+    put_into(target_pool& pool) const
+    {
+        for (std::size_t i = 0; i < targets.size(); ++i)
+        {
+            pool.put(targets[i]->record("s" + std::to_string(i), zone));
+        }
+    }
+
+    std::size_t
+    received() const
+    {
+        std::size_t out = 0;
+        for (const auto& t : targets)
+        {
+            out += t->received.size();
+        }
+        return out;
+    }
+
+    std::string zone;
+    std::vector<std::unique_ptr<stand_in_target>> targets;
+};
+
+std::set<std::string>
+proofs_of(const http_reply& reply)
+{
+    const std::string* value = find_field(reply.fields, "X-Part-Stamps");
+    std::set<std::string> out;
+    std::string text = value == nullptr ? "" : *value;
+    while (!text.empty())
+    {
+        const std::size_t comma = text.find(", ");
+        REQUIRE(out.insert(text.substr(0, comma)).second);
+        text = comma == std::string::npos ? "" : text.substr(comma + 2);
+    }
+    return out;
+}
+
+/// A VM in the zone "north" without targets of its own; the zones "south" and
+/// "west" have targets of three services, and "south" has a VM.
+struct three_zones
+{
+    three_zones()
+        : delegate(vm, "vm-s", "south"), south(vm, "south", 3),
+          west(vm, "west", 3)
+    {
+        for (target_pool* pool : {&vm.pool, &delegate.pool})
+        {
+            south.put_into(*pool);
+            west.put_into(*pool);
+        }
+        vm.adopt(
+            1, {entry_vm::make_route("q", {"s0", "s1", "s2"}, true, true)});
+    }
+
+    http_reply
+    ask()
+    {
+        test_caller caller(vm.loop, vm.caller_address());
+        caller.send(get("/q/1", "r1"));
+        return caller.reply();
+    }
+
+    entry_vm vm;
+    delegate_vm delegate;
+    zone_targets south;
+    zone_targets west;
+};
+
+std::uint64_t
+count(const entry_vm& vm, counter c)
+{
+    return vm.counters.read()[c];
+}
+
+} // namespace
+
+// Guards against orders that change a request on their way.
+TEST_CASE("an order and its parts survive their encoding", "[entry]")
+{
+    gather_order order;
+    order.message.id = "r1";
+    order.message.host = "h.example";
+    order.message.method = "POST";
+    order.message.path = "/q/1?x=%00";
+    order.message.time_left = 1500ms;
+    order.message.forwarded = {{"A", "1"}, {"A", "2"}};
+    order.message.body = std::string("\0\xff", 2);
+    order.reply_within = 40ms;
+    order.expected = 12ms;
+    order.result_limit = 5;
+    order.least_parts = 2;
+    order.shards = {"a", "b"};
+    const auto read = decode_order(encode_order(order));
+    REQUIRE(read);
+    CHECK(read->message.id == "r1");
+    CHECK(read->message.method == "POST");
+    CHECK(read->message.path == order.message.path);
+    CHECK(read->message.body == order.message.body);
+    CHECK(read->message.time_left == order.message.time_left);
+    REQUIRE(read->message.forwarded.size() == 2);
+    CHECK(read->message.forwarded[1].value == "2");
+    CHECK(read->shards == order.shards);
+    CHECK(read->least_parts == 2);
+
+    gather_parts parts;
+    parts.parts.resize(3);
+    parts.parts[1] = {part_state::answered, "proof", 7ms};
+    parts.parts[2].state = part_state::unknown;
+    parts.records = record('1');
+    const auto back = decode_parts(encode_parts(parts));
+    REQUIRE(back);
+    CHECK(back->parts[0].state == part_state::unsent);
+    CHECK(back->parts[1].proof == "proof");
+    CHECK(back->parts[1].took == 7ms);
+    CHECK(back->parts[2].state == part_state::unknown);
+    CHECK(back->records == record('1'));
+}
+
+// Guards against bytes from outside that end the process.
+TEST_CASE("bytes that are no order are refused", "[entry]")
+{
+    CHECK(!decode_order(""));
+    CHECK(!decode_parts(""));
+    const std::string whole =
+        encode_parts({{{part_state::answered, "p", 1ms}}, record('1')});
+    const auto property = [&](std::string bytes, std::uint8_t cut)
+    {
+        static_cast<void>(decode_order(bytes));
+        static_cast<void>(decode_parts(bytes));
+        RC_ASSERT(!decode_parts(whole.substr(0, cut % whole.size())));
+    };
+    CHECK(test::holds(1, 500, property));
+}
+
+// Guards against a shard that is asked twice or through a zone that has none
+// of its targets.
+TEST_CASE("groups hold each shard once, in a zone that has it", "[entry]")
+{
+    const auto property =
+        [](const std::vector<std::uint8_t>& bits, std::uint32_t seed)
+    {
+        const std::vector<std::string> names{"a", "b", "c"};
+        std::vector<shard_reach> shards;
+        for (const std::uint8_t b : bits)
+        {
+            shard_reach reach;
+            reach.own_zone = (b & 8U) != 0;
+            for (std::size_t z = 0; z < names.size(); ++z)
+            {
+                if ((b & (1U << z)) != 0)
+                {
+                    reach.zones.push_back(names[z]);
+                }
+            }
+            shards.push_back(reach);
+        }
+        std::mt19937_64 random(seed);
+        std::set<std::size_t> seen;
+        std::set<std::string> zones;
+        for (const gather_group& g :
+            plan_groups(shards, {{"a", 0.5}, {"b", 0.0}}, random))
+        {
+            RC_ASSERT(zones.insert(g.zone).second);
+            RC_ASSERT(g.zone != "c");
+            RC_ASSERT(g.shards.size() >= config::min_group_shards);
+            for (const std::size_t i : g.shards)
+            {
+                RC_ASSERT(seen.insert(i).second);
+                RC_ASSERT(!shards[i].own_zone);
+                const auto& reach = shards[i].zones;
+                RC_ASSERT(std::find(reach.begin(), reach.end(), g.zone) !=
+                          reach.end());
+                RC_ASSERT(reach.size() > 1);
+            }
+        }
+    };
+    CHECK(test::holds(1, 500, property));
+}
+
+// Guards against a sub-request and a reply for each shard between zones.
+TEST_CASE("shards of another zone are asked by one order", "[entry]")
+{
+    three_zones z;
+    z.vm.delegates.set_vms({z.delegate.registration()});
+    const http_reply reply = z.ask();
+    CHECK(reply.status == 200);
+    CHECK(proofs_of(reply) ==
+          std::set<std::string>{"south0", "south1", "south2"});
+    CHECK(reply.body == record('3') + record('2') + record('1'));
+    CHECK(count(z.vm, counter::gather_orders_sent) == 1);
+    CHECK(count(z.vm, counter::gather_orders_received) == 1);
+    CHECK(z.west.received() == 0);
+    const http_request& seen = z.south.targets[0]->received.at(0);
+    CHECK(seen.path == "/q/1");
+    CHECK(header_of(seen, "X-Request-Id") == "r1");
+    CHECK(header_of(seen, "X-Expect-Instance") == "t-south0");
+    CHECK(std::stoi(header_of(seen, "X-Deadline-Ms")) <= 4000);
+}
+
+// Guards against an answer that waits for a slow target behind a delegate.
+TEST_CASE("a shard without an answer is handed back and hedged", "[entry]")
+{
+    three_zones z;
+    z.vm.delegates.set_vms({z.delegate.registration()});
+    z.south.targets[1]->set_script(
+        [](const http_request&) -> scripted_reply
+        {
+            scripted_reply out;
+            out.silent = true;
+            return out;
+        });
+    const http_reply reply = z.ask();
+    CHECK(reply.status == 200);
+    CHECK(
+        proofs_of(reply) == std::set<std::string>{"south0", "south2", "west1"});
+    CHECK(count(z.vm, counter::shards_handed_back) == 1);
+    CHECK(count(z.vm, counter::sub_requests_hedged) == 1);
+    CHECK(z.west.received() == 1);
+}
+
+// Guards against a delegate that is gone without a word: its shards were
+// lost, and each later request waited for it again.
+TEST_CASE(
+    "a silent delegate is left out and its shards asked directly", "[entry]")
+{
+    three_zones z;
+    stand_in_target mute(z.vm.loop, "mute",
+        [](const http_request&) -> scripted_reply
+        {
+            scripted_reply out;
+            out.silent = true;
+            return out;
+        });
+    z.vm.delegates.set_vms({{"vm-s", "south", mute.address()}});
+    REQUIRE(z.vm.delegates.zones().size() == 1);
+    const http_reply reply = z.ask();
+    CHECK(reply.status == 200);
+    CHECK(proofs_of(reply).size() == 3);
+    CHECK(z.vm.delegates.zones().empty());
+    CHECK(count(z.vm, counter::delegates_lost) == 1);
+}
+
+// Guards against a refusal that is taken for an answer, or that loses shards.
+TEST_CASE("after a refused order the shards are asked directly", "[entry]")
+{
+    three_zones z;
+    delegate_vm empty(z.vm, "vm-w", "west");
+    z.vm.delegates.set_vms({empty.registration()});
+    const http_reply reply = z.ask();
+    CHECK(reply.status == 200);
+    CHECK(proofs_of(reply).size() == 3);
+    CHECK(count(z.vm, counter::gather_orders_refused) == 1);
+    CHECK(count(z.vm, counter::sub_requests_hedged) == 0);
+    CHECK(z.vm.delegates.zones().size() == 1);
+}
+
+// Guards against targets that work on for a caller that left.
+TEST_CASE("a caller that leaves ends the work of its delegate", "[entry]")
+{
+    three_zones z;
+    z.vm.delegates.set_vms({z.delegate.registration()});
+    for (const auto& target : z.south.targets)
+    {
+        target->set_script(
+            [](const http_request&) -> scripted_reply
+            {
+                scripted_reply out;
+                out.silent = true;
+                return out;
+            });
+    }
+    test_caller caller(z.vm.loop, z.vm.caller_address());
+    caller.send(get("/q/1", "r1"));
+    test_caller runner(z.vm.loop, z.vm.caller_address());
+    runner.run_until([&] { return z.south.received() == 3; });
+    caller.close();
+    runner.run_until(
+        [&]
+        {
+            z.delegate.pool.tick();
+            return std::all_of(z.south.targets.begin(), z.south.targets.end(),
+                [](const auto& t) { return t->closed_by_peer > 0; });
+        });
+    CHECK(count(z.vm, counter::requests_gave_up) == 1);
+}
