Carry out rollouts by pooled evidence

Cause: orders in rollouts/ were not handled: a good version was never moved to, and a bad one was met by chance. Change: each VM divides a service's requests between the ordered version and the others (a small share, then a large one, then all within the time limit), counts failed and slow replies of both sides and reports them to the store. Every VM pools the reports, sends nothing more to a version that fails the test of the version moves, and writes the state in turn, on condition of the revision it was decided on. The orders are polled by stale reads and watched while one runs. Also: a shard without a budget for a hedge is asked directly, since a handed-back one was lost, and delegates are chosen by their overhead.

--- a/src/config.hpp
+++ b/src/config.hpp
@@ -363,12 +363,15 @@
 // Orders to VMs of other zones to ask several shards. Below the group size a
 // direct sub-request costs less than an order.
 inline constexpr std::size_t min_group_shards = 2;
-inline constexpr std::size_t delegates_per_zone = 2;
+inline constexpr std::size_t delegates_per_zone = 3;
 inline constexpr std::size_t max_delegated_body_bytes = 64 * kib;
 inline constexpr std::size_t max_order_bytes = mib;
 inline constexpr auto max_order_time = 1h;
 // Way and processing of an order and its reply, beyond the time it is given.
-inline constexpr auto delegate_margin = 15ms;
+inline constexpr double order_margin_share = 0.15; // of the target latency
+inline constexpr auto order_margin_min = 10ms;
+inline constexpr double order_overhead_gain = 0.2;
+inline constexpr auto order_overhead_unit = 4ms; // weighs like one more order
 inline constexpr double handed_back_factor = 4.0;
 inline constexpr double handed_back_gain = 0.1;
 inline constexpr auto delegate_block_base = 500ms;
@@ -407,6 +410,23 @@
 // A caller with less of its usual time left than this share is repeating.
 inline constexpr double least_spent_share = 0.03;
 
+// Rollouts of the entry path. Times are parts of the order's time limit.
+inline constexpr double rollout_canary_part = 0.5; // of the allowed share
+inline constexpr double rollout_ramp_share = 0.4;
+inline constexpr double rollout_ramp_at = 0.45;
+inline constexpr double rollout_full_at = 0.6;
+inline constexpr double rollout_complete_at = 0.75;
+inline constexpr double rollout_withdraw_at = 0.9;
+inline constexpr double rollout_bad_margin = 0.05;   // errors and slow replies
+inline constexpr double rollout_suspicion = 3.0;     // 14 withdraws
+inline constexpr double rollout_slow_multiple = 4.0; // of the usual latency
+inline constexpr auto rollout_turn = 300ms;          // between writers
+inline constexpr std::ptrdiff_t rollout_max_turns = 6;
+inline constexpr auto rollout_write_retry = 1s;
+// Reports of one VM, and of all VMs together.
+inline constexpr auto rollout_report_period = 500ms;
+inline constexpr auto rollout_report_gap = 25ms;
+
 // Hedging of the entry path.
 inline constexpr double entry_hedge_quantile = 0.95;
 inline constexpr double hedge_stretch = 1.2;
--- a/src/entry_query_delegate.cpp
+++ b/src/entry_query_delegate.cpp
@@ -46,7 +46,12 @@
     reach.reserve(lanes.size());
     for (const std::size_t i : lanes)
     {
-        reach.push_back(context_.pool.reach_of(lanes_[i].service));
+        const std::string& service = lanes_[i].service;
+        // A shard that is handed back needs a hedge. Without a budget for one
+        // it is asked directly, and its reply awaited.
+        reach.push_back(context_.pool.has_extra(service, 1)
+                            ? context_.pool.reach_of(service)
+                            : shard_reach{});
     }
     std::vector<gather_group> groups =
         plan_groups(reach, zones, context_.random);
@@ -60,22 +65,14 @@
     return groups;
 }
 
-/// The delegate hands shards back when this VM would hedge them. Without a
-/// budget for hedges it waits for them as long as a partial answer does.
+/// The delegate hands shards back when this VM would hedge them.
 gather_order
 entry_query::order_for(const gather_group& group) const
 {
-    const monotonic_time now = monotonic_clock::now();
-    const gather_progress p = progress(now);
     gather_order order;
     order.message = message_;
-    order.message.time_left = time_left(now);
-    const std::string& any = lanes_[group.shards.front()].service;
-    const duration patient =
-        partial_answer_time(p) - p.elapsed - config::delegate_margin;
-    const bool hedges = context_.pool.has_extra(any, 1);
-    order.reply_within =
-        std::max(hedges ? hedge_time() : patient, hedge_time());
+    order.message.time_left = time_left(monotonic_clock::now());
+    order.reply_within = hedge_time();
     order.expected = expected_latency();
     order.result_limit = route_.result_limit;
     std::size_t others = 0;
@@ -98,7 +95,12 @@
 entry_query::delegate(gather_group&& group)
 {
     const auto id = std::make_shared<order_id>(0);
-    *id = context_.delegates.send(group.zone, order_for(group),
+    const auto margin = std::chrono::duration_cast<duration>(
+        target_left_ * config::order_margin_share);
+    const gather_order order = order_for(group);
+    *id = context_.delegates.send(group.zone, order,
+        order.reply_within +
+            std::max<duration>(margin, config::order_margin_min),
         [self = shared_from_this(), id](delegate_reply&& reply)
         { self->on_delegate(*id, std::move(reply)); });
     for (const std::size_t i : group.shards)
--- a/src/entry_settings.cpp
+++ b/src/entry_settings.cpp
@@ -130,6 +130,8 @@
         keys.number("extra_load/slack", out.extra_load.slack, 0, 1e6);
     out.extra_load.window = seconds(keys.number("extra_load/window_s",
         in_seconds(out.extra_load.window), 0.1, longest_time_s));
+    out.rollout.share = keys.number("rollout/share", out.rollout.share, 0, 1);
+    out.rollout.slack = keys.number("rollout/slack", out.rollout.slack, 0, 1e6);
     const double grace = keys.number("stop/grace_s",
         in_seconds(out.stop.exit_at + config::exit_margin), 0.5,
         longest_time_s);
--- a/src/entry_settings.hpp
+++ b/src/entry_settings.hpp
@@ -2,6 +2,7 @@
 
 #include "entry_server.hpp"
 #include "extra_load_window.hpp"
+#include "rollout.hpp"
 
 #include <bramleymux/types.hpp>
 
@@ -23,6 +24,7 @@
     std::string store_address;    ///< IP:port of the platform's store
 
     extra_load_limits extra_load;
+    rollout_limits rollout;
     stop_times stop;
 };
 
--- a/src/gather.cpp
+++ b/src/gather.cpp
@@ -19,8 +19,6 @@
     return is_enough(shards, p.shards, p.min_coverage);
 }
 
-} // namespace
-
 duration
 partial_answer_time(const gather_progress& p)
 {
@@ -28,6 +26,8 @@
         duration(p.target_latency / 2));
 }
 
+} // namespace
+
 std::string
 merge_records(const std::vector<std::string_view>& parts, std::size_t limit)
 {
--- a/src/gather.hpp
+++ b/src/gather.hpp
@@ -49,10 +49,6 @@
 gather_step
 next_step(const gather_progress& progress);
 
-/// Elapsed time at which a partial answer goes out.
-duration
-partial_answer_time(const gather_progress& progress);
-
 /// Elapsed time at which `next_step` can change without another reply.
 duration
 next_decision(const gather_progress& progress);
--- a/src/gather_delegates.cpp
+++ b/src/gather_delegates.cpp
@@ -61,6 +61,8 @@
 
     call_channel channel;
     order_id order = 0; ///< 0 = free
+    monotonic_time sent_at{};
+    duration timeout{};
     reply_handler handler;
 };
 
@@ -85,6 +87,7 @@
     bool probing = false;
     std::uint32_t failures = 0;
     monotonic_time probe_at{};
+    std::chrono::duration<double> overhead{}; ///< fading mean
 };
 
 gather_delegates::gather_delegates(boost::asio::io_context& loop,
@@ -143,32 +146,43 @@
     return out;
 }
 
-/// The sound delegate of the zone with the fewest orders.
+/// The sound delegate of the zone with the fewest orders and least overhead.
 std::shared_ptr<gather_delegates::delegate>
 gather_delegates::pick(const std::string& zone)
 {
+    std::uniform_real_distribution<double> jitter(
+        1.0, 1.0 + config::choice_jitter);
     std::shared_ptr<delegate> best;
-    std::size_t ties = 0;
+    double best_cost = 0.0;
     for (const auto& d : delegates_)
     {
         if (d->blocked || d->vm.zone != zone)
         {
             continue;
         }
-        const bool fewer = !best || d->running() < best->running();
-        const bool equal = !fewer && d->running() == best->running();
-        ties = fewer ? 1 : ties + (equal ? 1 : 0);
-        if (fewer || (equal && random_() % ties == 0))
+        const std::chrono::duration<double> unit = config::order_overhead_unit;
+        const double cost =
+            (1.0 + static_cast<double>(d->running()) + d->overhead / unit) *
+            jitter(random_);
+        if (!best || cost < best_cost)
         {
             best = d;
+            best_cost = cost;
         }
     }
     return best;
 }
 
+void
+gather_delegates::note_overhead(delegate& d, duration overhead)
+{
+    d.overhead += config::order_overhead_gain *
+                  (std::chrono::duration<double>(overhead) - d.overhead);
+}
+
 order_id
-gather_delegates::send(
-    const std::string& zone, const gather_order& order, reply_handler handler)
+gather_delegates::send(const std::string& zone, const gather_order& order,
+    duration timeout, reply_handler handler)
 {
     const std::shared_ptr<delegate> d = pick(zone);
     auto found = std::find_if(d->lanes.begin(), d->lanes.end(),
@@ -181,10 +195,12 @@
     lane& l = **found;
     l.order = ++last_order_;
     l.handler = std::move(handler);
+    l.sent_at = monotonic_clock::now();
+    l.timeout = timeout;
     metrics_.add(counter::gather_orders_sent);
     l.channel.call({"POST", std::string(gather_path), encode_order(order),
                        "application/cbor"},
-        order.reply_within + config::delegate_margin,
+        timeout,
         [this, d, &l, asked = order.shards.size()](call_reply&& reply)
         { on_reply(d, l, asked, std::move(reply)); });
     return l.order;
@@ -212,6 +228,15 @@
         without_answer =
             1.0 - static_cast<double>(answered) / static_cast<double>(asked);
         d->failures = 0;
+        duration slowest{};
+        for (const gather_part& p : out.parts.parts)
+        {
+            slowest = std::max(slowest, p.took);
+        }
+        if (without_answer == 0.0)
+        {
+            note_overhead(*d, monotonic_clock::now() - l.sent_at - slowest);
+        }
     }
     else if (reply.status == status_unavailable || reply.unsent)
     {
@@ -220,6 +245,7 @@
     if (reply.status != status_unavailable &&
         out.outcome != delegate_outcome::parts)
     {
+        note_overhead(*d, l.timeout);
         block(*d, reply.unsent ? "no connection" : "silent");
     }
     double& share = handed_back_[d->vm.zone];
--- a/src/gather_delegates.hpp
+++ b/src/gather_delegates.hpp
@@ -52,9 +52,10 @@
     std::vector<delegate_zone>
     zones() const;
 
-    /// `handler` is called later. The zone must be one of `zones`.
+    /// `handler` is called later, within `timeout`. The zone must be one of
+    /// `zones`.
     order_id
-    send(const std::string& zone, const gather_order& order,
+    send(const std::string& zone, const gather_order& order, duration timeout,
         reply_handler handler);
 
     /// The reply is no longer wanted: `handler` is not called and the delegate
@@ -75,6 +76,9 @@
     void
     on_reply(const std::shared_ptr<delegate>& d, lane& l, std::size_t asked,
         call_reply&& reply);
+    /// Time of an order beyond that of its slowest target.
+    void
+    note_overhead(delegate& d, duration overhead);
     void
     block(delegate& d, std::string_view reason);
     void
--- a/src/target_choice.cpp
+++ b/src/target_choice.cpp
@@ -215,6 +215,13 @@
     {
         return false;
     }
+    const bool other_version =
+        context.version != nullptr &&
+        (target.record.version == *context.version) == context.other_versions;
+    if (other_version)
+    {
+        return false;
+    }
     if (context.zones_out != nullptr &&
         std::find(context.zones_out->begin(), context.zones_out->end(),
             target.record.zone) != context.zones_out->end())
--- a/src/target_choice.hpp
+++ b/src/target_choice.hpp
@@ -118,6 +118,9 @@
     double cold_rate = 0.0; ///< requests a second of all VMs; 0 = any
     const std::vector<const target_state*>* tried = nullptr;
     choice_scope scope = choice_scope::any_zone;
+    /// Not null: only targets of this version, or only those of others.
+    const std::string* version = nullptr;
+    bool other_versions = false;
 };
 
 /// Whether the target may get a request when it has room. A lapsed or leaving
--- a/src/target_pool.cpp
+++ b/src/target_pool.cpp
@@ -190,7 +190,8 @@
     choice_context context = context_of(&s);
     context.tried = &tried;
     context.scope = scope;
-    return choose_target(s.targets, context, random_);
+    return s.rollout ? choose_version(s, context)
+                     : choose_target(s.targets, context, random_);
 }
 
 /// Whether some usable target of the service passes `test`.
@@ -544,6 +545,7 @@
     {
         metrics_.observe(latency_kind::target, took);
     }
+    count_version(e, outcome, took, pending.order.expected, now);
     if (e.state.blocked && !was_blocked)
     {
         log_target(event::target_unreachable, e,
--- a/src/target_pool.hpp
+++ b/src/target_pool.hpp
@@ -4,6 +4,7 @@
 #include "extra_load_window.hpp"
 #include "gather_plan.hpp"
 #include "metrics.hpp"
+#include "rollout.hpp"
 #include "target_choice.hpp"
 #include "target_link.hpp"
 
@@ -50,6 +51,14 @@
 
 using send_id = std::uint64_t;
 
+/// Part of a service's requests that goes to targets of one version.
+struct version_share
+{
+    std::string version;
+    std::uint64_t order = 0; ///< counts begin anew with another order
+    double share = 0.0;
+};
+
 class target_pool
 {
 public:
@@ -79,6 +88,16 @@
     void
     set_services(const std::vector<service_rule>& services);
 
+    /// Divides the requests of a service between a version and the others, and
+    /// counts the replies of both.
+    void
+    set_version_share(
+        const std::string& service, std::optional<version_share> share);
+
+    /// Replies since the share was set for the present order.
+    rollout_counts
+    version_counts(const std::string& service) const;
+
     /// Null when no target can take a request now.
     target_state*
     choose(const std::string& service,
@@ -191,6 +210,11 @@
     void
     finish(send_id id, send_outcome outcome, bool may_have_run,
         target_reply&& reply);
+    target_state*
+    choose_version(service_state& service, choice_context& context);
+    void
+    count_version(entry& e, send_outcome outcome, duration took,
+        duration expected, monotonic_time now);
     void
     learn(entry& e, const target_reply& reply);
     void
--- a/src/target_pool_state.hpp
+++ b/src/target_pool_state.hpp
@@ -21,6 +21,9 @@
     std::vector<target_state*> targets;
     std::deque<waiter> waiters; ///< for a target with room
     bool waking = false;
+    std::optional<version_share> rollout;
+    rollout_counts counts;     ///< of both versions
+    double fresh_credit = 0.0; ///< requests due to the version of the rollout
 };
 
 struct target_pool::entry
--- a/tests/test_platform_adapter.cpp
+++ b/tests/test_platform_adapter.cpp
@@ -205,7 +205,8 @@
                           R"(}],"at":9})");
     };
     platform::platform_source source(vm.loop, store.server.address(),
-        {"vm-1", "north", "127.0.0.1:1"}, vm.context, vm.server);
+        {"vm-1", "north", "127.0.0.1:1"}, rollout_limits{}, vm.context,
+        vm.server);
     source.start();
     test_caller runner(vm.loop, vm.caller_address());
     runner.run_until(
@@ -230,7 +231,8 @@
         return {"", false, true};
     };
     platform::platform_source source(vm.loop, store.server.address(),
-        {"vm-1", "north", "127.0.0.1:1"}, vm.context, vm.server);
+        {"vm-1", "north", "127.0.0.1:1"}, rollout_limits{}, vm.context,
+        vm.server);
     source.start();
     test_caller runner(vm.loop, vm.caller_address());
     runner.run_until(
