Collect the late replies of an order

Cause: a shard that a delegate handed back lost its first send. Change: a delegate lets the sends go on until just before the target latency; the ordering VM asks for their replies while it hedges, and takes whichever comes first. The replies are named by a random number, so that a restarted delegate has none for it.

--- a/src/entry_query.cpp
+++ b/src/entry_query.cpp
@@ -173,7 +173,7 @@
                     started_ + target_left_ - stats_.usual,
                     [self = shared_from_this(), lane_index, reason]
                     { return self->on_room(lane_index, reason); });
-    l.failed = !l.waiting && l.sends.empty();
+    l.failed = is_over(l);
 }
 
 bool
@@ -191,7 +191,7 @@
     {
         // Room goes to requests that can be in time.
         l.reason = miss_reason::queue_full;
-        l.failed = l.sends.empty();
+        l.failed = is_over(l);
     }
     else
     {
@@ -329,7 +329,13 @@
         dispatch_or_wait(lane_index, send_reason::retry);
         return;
     }
-    l.failed = l.sends.empty() && !l.waiting;
+    l.failed = is_over(l);
+}
+
+bool
+entry_query::is_over(const lane& l)
+{
+    return l.sends.empty() && !l.waiting && !l.delegated;
 }
 
 bool
--- a/src/entry_query.hpp
+++ b/src/entry_query.hpp
@@ -87,10 +87,20 @@
     void
     on_delegate(order_id id, delegate_reply&& reply);
     void
-    take_parts(const delegation& from, gather_parts&& parts);
+    take_parts(
+        const delegation& from, const std::string& vm_id, gather_parts&& parts);
     /// The delegate did not answer for the lane.
     void
     take_back(std::size_t lane_index, part_state state);
+    /// Waits for the late replies of an order.
+    void
+    collect(
+        const delegation& from, const std::string& vm_id, std::uint64_t rest);
+    void
+    on_rest(order_id id, delegate_reply&& reply);
+    /// Nothing more can answer the lane.
+    static bool
+    is_over(const lane& l);
     void
     on_refusal(const delegation& from);
     bool
--- a/src/entry_query_delegate.cpp
+++ b/src/entry_query_delegate.cpp
@@ -73,6 +73,8 @@
     order.message = message_;
     order.message.time_left = time_left(monotonic_clock::now());
     order.reply_within = hedge_time();
+    order.rest_within = target_left_ - (monotonic_clock::now() - started_) -
+                        config::answer_margin;
     order.expected = expected_latency();
     order.result_limit = route_.result_limit;
     std::size_t others = 0;
@@ -128,7 +130,7 @@
     switch (reply.outcome)
     {
     case delegate_outcome::parts:
-        take_parts(from, std::move(reply.parts));
+        take_parts(from, reply.vm_id, std::move(reply.parts));
         break;
     case delegate_outcome::refused:
         on_refusal(from);
@@ -151,7 +153,8 @@
 }
 
 void
-entry_query::take_parts(const delegation& from, gather_parts&& parts)
+entry_query::take_parts(
+    const delegation& from, const std::string& vm_id, gather_parts&& parts)
 {
     const monotonic_time now = monotonic_clock::now();
     std::vector<std::string> handed_back;
@@ -174,6 +177,7 @@
     merged_records_.push_back(std::move(parts.records));
     context_.counters.add(counter::shards_handed_back, handed_back.size());
     log_handed_back(from.zone, from.lanes.size(), handed_back);
+    collect(from, vm_id, parts.rest);
     for (std::size_t i = 0; i < from.lanes.size(); ++i)
     {
         if (!lanes_[from.lanes[i]].answered)
@@ -211,7 +215,69 @@
                                          : send_reason::hedge);
         return;
     }
-    l.failed = true;
+    l.failed = is_over(l);
+}
+
+void
+entry_query::collect(
+    const delegation& from, const std::string& vm_id, std::uint64_t rest)
+{
+    if (rest == 0)
+    {
+        return;
+    }
+    const duration left = started_ + target_left_ - monotonic_clock::now();
+    const auto id = std::make_shared<order_id>(0);
+    *id = context_.delegates.collect(vm_id, rest, from.lanes.size(),
+        std::max<duration>(left, config::order_margin_min),
+        [self = shared_from_this(), id](delegate_reply&& reply)
+        { self->on_rest(*id, std::move(reply)); });
+    if (*id == 0)
+    {
+        return;
+    }
+    for (const std::size_t i : from.lanes)
+    {
+        lanes_[i].delegated = !lanes_[i].answered;
+    }
+    delegations_.push_back({*id, from.zone, from.lanes});
+}
+
+void
+entry_query::on_rest(order_id id, delegate_reply&& reply)
+{
+    const auto found = std::find_if(delegations_.begin(), delegations_.end(),
+        [&](const delegation& d) { return d.id == id; });
+    if (finished_ || found == delegations_.end())
+    {
+        return;
+    }
+    const delegation from = std::move(*found);
+    delegations_.erase(found);
+    for (std::size_t i = 0; i < from.lanes.size(); ++i)
+    {
+        lane& l = lanes_[from.lanes[i]];
+        l.delegated = false;
+        const bool late = reply.outcome == delegate_outcome::parts &&
+                          !l.answered &&
+                          reply.parts.parts[i].state == part_state::answered;
+        if (late)
+        {
+            gather_part& part = reply.parts.parts[i];
+            send_result result;
+            result.reply.proof = std::move(part.proof);
+            result.reply.body = std::move(part.records);
+            note_latency(stats_, route_, part.took, monotonic_clock::now());
+            on_good(l, std::move(result));
+        }
+    }
+    collect(from, reply.vm_id, reply.parts.rest);
+    for (const std::size_t i : from.lanes)
+    {
+        lane& l = lanes_[i];
+        l.failed = !l.answered && is_over(l);
+    }
+    advance();
 }
 
 } // namespace bramleymux
--- a/src/entry_server.cpp
+++ b/src/entry_server.cpp
@@ -144,7 +144,9 @@
         handler = [this](http_request&& request,
                       const std::shared_ptr<caller_connection>& connection)
         {
-            if (request.path == gather_path)
+            const bool order =
+                request.path == gather_path || rest_of(request.path) != 0;
+            if (order)
             {
                 serve_order(std::move(request), connection);
             }
@@ -272,8 +274,31 @@
 entry_server::serve_order(http_request&& request,
     const std::shared_ptr<caller_connection>& connection)
 {
-    const bool takes_orders = informed_ && !stopping_;
+    const auto cancel_job = [](const std::shared_ptr<gather_job>& job)
+    {
+        return [weak = std::weak_ptr<gather_job>(job)]
+        {
+            if (const auto j = weak.lock())
+            {
+                j->cancel();
+            }
+        };
+    };
+    const auto known = jobs_.find(rest_of(request.path));
+    if (known != jobs_.end())
+    {
+        connection->set_on_left(cancel_job(known->second));
+        known->second->collect(answer_on(connection));
+        return;
+    }
     http_reply out;
+    if (request.path != gather_path)
+    {
+        out.status = info_of(problem_code::unknown_path).status;
+        connection->answer(std::move(out));
+        return;
+    }
+    const bool takes_orders = informed_ && !stopping_;
     auto order = decode_order(request.body);
     if (request.body.empty() || !takes_orders || !order)
     {
@@ -285,16 +310,12 @@
         connection->answer(std::move(out));
         return;
     }
+    // Random, so that a number from a former process names no other job.
+    const std::uint64_t id = context_.random() | 1U;
     const auto job = std::make_shared<gather_job>(
-        context_, std::move(*order), answer_on(connection));
-    connection->set_on_left(
-        [weak = std::weak_ptr<gather_job>(job)]
-        {
-            if (const auto j = weak.lock())
-            {
-                j->cancel();
-            }
-        });
+        context_, id, std::move(*order), answer_on(connection));
+    jobs_.emplace(id, job);
+    connection->set_on_left(cancel_job(job));
     job->start();
 }
 
@@ -433,6 +454,10 @@
     const monotonic_time now = monotonic_clock::now();
     update_reach();
     update_readiness();
+    for (auto it = jobs_.begin(); it != jobs_.end();)
+    {
+        it = it->second->is_finished() ? jobs_.erase(it) : std::next(it);
+    }
     const bool closing = stopping_ && now - stop_began_ > times_.keep_idle;
     bool busy = false;
     for (auto it = connections_.begin(); it != connections_.end();)
--- a/src/entry_server.hpp
+++ b/src/entry_server.hpp
@@ -14,6 +14,7 @@
 {
 
 class caller_connection;
+class gather_job;
 
 /// Times of a graceful stop, counted from its begin.
 struct stop_times
@@ -101,6 +102,7 @@
     std::shared_ptr<const desired_state> state_;
     std::vector<std::unique_ptr<listener>> listeners_;
     std::list<std::shared_ptr<caller_connection>> connections_;
+    std::unordered_map<std::uint64_t, std::shared_ptr<gather_job>> jobs_;
     bool informed_ = false;
     bool reported_ready_ = false;
     bool cut_off_ = false;
--- a/src/gather_delegates.cpp
+++ b/src/gather_delegates.cpp
@@ -13,6 +13,7 @@
 {
 
 constexpr int status_ok = 200;
+constexpr int status_not_found = 404;
 constexpr int status_unavailable = 503;
 
 std::uint64_t
@@ -63,6 +64,7 @@
     order_id order = 0; ///< 0 = free
     monotonic_time sent_at{};
     duration timeout{};
+    bool first = true; ///< the order itself, not its late replies
     reply_handler handler;
 };
 
@@ -184,7 +186,30 @@
 gather_delegates::send(const std::string& zone, const gather_order& order,
     duration timeout, reply_handler handler)
 {
-    const std::shared_ptr<delegate> d = pick(zone);
+    metrics_.add(counter::gather_orders_sent);
+    return call(pick(zone),
+        {"POST", std::string(gather_path), encode_order(order),
+            "application/cbor"},
+        order.shards.size(), timeout, std::move(handler));
+}
+
+order_id
+gather_delegates::collect(const std::string& vm_id, std::uint64_t rest,
+    std::size_t asked, duration timeout, reply_handler handler)
+{
+    const auto found = std::find_if(delegates_.begin(), delegates_.end(),
+        [&](const auto& d) { return d->vm.id == vm_id && !d->blocked; });
+    return found == delegates_.end()
+               ? 0
+               : call(*found, {"GET", rest_path(rest), {}, {}}, asked, timeout,
+                     std::move(handler));
+}
+
+order_id
+gather_delegates::call(const std::shared_ptr<delegate>& d,
+    const call_request& request, std::size_t asked, duration timeout,
+    reply_handler handler)
+{
     auto found = std::find_if(d->lanes.begin(), d->lanes.end(),
         [](const auto& l) { return l->order == 0; });
     if (found == d->lanes.end())
@@ -197,11 +222,9 @@
     l.handler = std::move(handler);
     l.sent_at = monotonic_clock::now();
     l.timeout = timeout;
-    metrics_.add(counter::gather_orders_sent);
-    l.channel.call({"POST", std::string(gather_path), encode_order(order),
-                       "application/cbor"},
-        timeout,
-        [this, d, &l, asked = order.shards.size()](call_reply&& reply)
+    l.first = request.method == "POST";
+    l.channel.call(request, timeout,
+        [this, d, &l, asked](call_reply&& reply)
         { on_reply(d, l, asked, std::move(reply)); });
     return l.order;
 }
@@ -214,6 +237,7 @@
     l.order = 0;
     l.handler = nullptr;
     delegate_reply out;
+    out.vm_id = d->vm.id;
     double without_answer = 1.0;
     auto parts =
         reply.status == status_ok ? decode_parts(reply.body) : std::nullopt;
@@ -233,7 +257,7 @@
         {
             slowest = std::max(slowest, p.took);
         }
-        if (without_answer == 0.0)
+        if (l.first && without_answer == 0.0)
         {
             note_overhead(*d, monotonic_clock::now() - l.sent_at - slowest);
         }
@@ -242,14 +266,20 @@
     {
         out.outcome = delegate_outcome::refused;
     }
-    if (reply.status != status_unavailable &&
-        out.outcome != delegate_outcome::parts)
+    // Late replies may have expired, and a VM may be stopping.
+    const bool sound = out.outcome == delegate_outcome::parts ||
+                       reply.status == status_unavailable ||
+                       reply.status == status_not_found;
+    if (!sound)
     {
         note_overhead(*d, l.timeout);
         block(*d, reply.unsent ? "no connection" : "silent");
     }
-    double& share = handed_back_[d->vm.zone];
-    share += config::handed_back_gain * (without_answer - share);
+    if (l.first)
+    {
+        double& share = handed_back_[d->vm.zone];
+        share += config::handed_back_gain * (without_answer - share);
+    }
     handler(std::move(out));
 }
 
--- a/src/gather_delegates.hpp
+++ b/src/gather_delegates.hpp
@@ -30,6 +30,7 @@
 {
     delegate_outcome outcome = delegate_outcome::silent;
     gather_parts parts;
+    std::string vm_id; ///< of the delegate
 };
 
 using order_id = std::uint64_t;
@@ -58,6 +59,12 @@
     send(const std::string& zone, const gather_order& order, duration timeout,
         reply_handler handler);
 
+    /// Asks the delegate of an order that was answered for its late replies.
+    /// Returns 0 when that delegate is gone.
+    order_id
+    collect(const std::string& vm_id, std::uint64_t rest, std::size_t asked,
+        duration timeout, reply_handler handler);
+
     /// The reply is no longer wanted: `handler` is not called and the delegate
     /// ends the work.
     void
@@ -73,6 +80,9 @@
 
     std::shared_ptr<delegate>
     pick(const std::string& zone);
+    order_id
+    call(const std::shared_ptr<delegate>& d, const call_request& request,
+        std::size_t asked, duration timeout, reply_handler handler);
     void
     on_reply(const std::shared_ptr<delegate>& d, lane& l, std::size_t asked,
         call_reply&& reply);
--- a/src/gather_job.cpp
+++ b/src/gather_job.cpp
@@ -30,11 +30,11 @@
 
 } // namespace
 
-gather_job::gather_job(
-    entry_context& context, gather_order&& order, reply_handler reply)
+gather_job::gather_job(entry_context& context, std::uint64_t id,
+    gather_order&& order, reply_handler reply)
     : context_(context), order_(std::move(order)), reply_(std::move(reply)),
       timer_(context.loop), started_(monotonic_clock::now()),
-      sends_(order_.shards.size())
+      sends_(order_.shards.size()), id_(id)
 {
 }
 
@@ -57,20 +57,39 @@
     }
     if (open_count() == 0)
     {
-        finish();
+        answer_first();
         return;
     }
-    timer_.expires_at(started_ + order_.reply_within);
+    arm(started_ + order_.reply_within);
+}
+
+void
+gather_job::arm(monotonic_time at)
+{
+    timer_.expires_at(at);
     timer_.async_wait(
         [self = shared_from_this()](boost::system::error_code error)
         {
             if (!error && !self->finished_)
             {
-                self->finish();
+                self->on_time();
             }
         });
 }
 
+void
+gather_job::on_time()
+{
+    if (first_answered_)
+    {
+        answer_rest();
+    }
+    else
+    {
+        answer_first();
+    }
+}
+
 void
 gather_job::refuse(std::size_t with_room)
 {
@@ -129,11 +148,12 @@
     {
         s.part.proof = std::move(result.reply.proof);
         s.part.took = result.took;
-        s.records = std::move(result.reply.body);
+        s.part.records = std::move(result.reply.body);
     }
-    if (!finished_ && open_count() == 0)
+    // A late reply may be the one that the ordering VM lacks.
+    if (!finished_ && (open_count() == 0 || first_answered_))
     {
-        finish();
+        on_time();
     }
 }
 
@@ -144,26 +164,96 @@
         [](const shard_send& s) { return s.open; }));
 }
 
+/// Merged records of what is in; sends that are out go on for a while.
 void
-gather_job::finish()
+gather_job::answer_first()
 {
-    finished_ = true;
-    timer_.cancel();
+    first_answered_ = true;
+    const bool goes_on =
+        open_count() > 0 && order_.rest_within > order_.reply_within;
     gather_parts out;
     std::vector<std::string_view> bodies;
     for (shard_send& s : sends_)
     {
-        s.part.state = s.open ? part_state::unknown : s.part.state;
-        bodies.emplace_back(s.records);
-        out.parts.push_back(std::move(s.part));
+        s.reported = s.part.state == part_state::answered;
+        if (s.reported)
+        {
+            bodies.emplace_back(s.part.records);
+        }
+        gather_part part = s.part;
+        part.records.clear();
+        part.state = s.open ? part_state::unknown : part.state;
+        out.parts.push_back(std::move(part));
     }
     out.records = merge_records(bodies, order_.result_limit);
+    out.rest = goes_on ? id_ : 0;
+    if (goes_on)
+    {
+        arm(started_ + order_.rest_within);
+    }
+    else
+    {
+        end();
+    }
+    answer(out);
+}
+
+void
+gather_job::collect(reply_handler reply)
+{
+    reply_ = std::move(reply);
+    const bool news = std::any_of(sends_.begin(), sends_.end(),
+        [](const shard_send& s)
+        { return !s.reported && s.part.state == part_state::answered; });
+    if (finished_ || news || open_count() == 0)
+    {
+        answer_rest();
+    }
+}
+
+/// Late replies so far, when the ordering VM has asked for them.
+void
+gather_job::answer_rest()
+{
+    const bool late = monotonic_clock::now() >= started_ + order_.rest_within;
+    const bool over = late || (reply_ && open_count() == 0);
+    if (over)
+    {
+        end();
+    }
+    if (!reply_)
+    {
+        return;
+    }
+    gather_parts out;
+    for (shard_send& s : sends_)
+    {
+        const bool news = !s.reported && s.part.state == part_state::answered;
+        s.reported = s.reported || news;
+        out.parts.push_back(news ? s.part : gather_part{});
+    }
+    out.rest = over ? 0 : id_;
+    answer(out);
+}
+
+void
+gather_job::answer(const gather_parts& parts)
+{
+    const reply_handler reply = std::move(reply_);
+    reply_ = nullptr;
+    http_reply out;
+    out.status = 200;
+    out.fields.push_back({"Content-Type", "application/cbor"});
+    out.body = encode_parts(parts);
+    reply(std::move(out));
+}
+
+void
+gather_job::end()
+{
+    finished_ = true;
+    timer_.cancel();
     abandon_sends();
-    http_reply reply;
-    reply.status = 200;
-    reply.fields.push_back({"Content-Type", "application/cbor"});
-    reply.body = encode_parts(out);
-    reply_(std::move(reply));
 }
 
 void
@@ -183,9 +273,7 @@
 {
     if (!finished_)
     {
-        finished_ = true;
-        timer_.cancel();
-        abandon_sends();
+        end();
     }
 }
 
--- a/src/gather_job.hpp
+++ b/src/gather_job.hpp
@@ -19,23 +19,34 @@
 public:
     using reply_handler = std::function<void(http_reply&&)>;
 
-    gather_job(
-        entry_context& context, gather_order&& order, reply_handler reply);
+    /// `id` names the job for a later call of `collect`.
+    gather_job(entry_context& context, std::uint64_t id, gather_order&& order,
+        reply_handler reply);
 
     void
     start();
 
+    /// Asks for the replies that were late for the first answer.
+    void
+    collect(reply_handler reply);
+
     /// The ordering VM no longer waits.
     void
     cancel();
 
+    bool
+    is_finished() const
+    {
+        return finished_;
+    }
+
 private:
     struct shard_send
     {
         send_id id = 0;
         bool open = false;
+        bool reported = false; ///< the ordering VM has the reply
         gather_part part;
-        std::string records;
     };
 
     void
@@ -43,7 +54,17 @@
     void
     on_result(std::size_t shard, send_result&& result);
     void
-    finish();
+    on_time();
+    void
+    answer_first();
+    void
+    answer_rest();
+    void
+    answer(const gather_parts& parts);
+    void
+    arm(monotonic_time at);
+    void
+    end();
     void
     abandon_sends();
     std::size_t
@@ -57,7 +78,9 @@
     boost::asio::steady_timer timer_;
     monotonic_time started_;
     std::vector<shard_send> sends_;
+    bool first_answered_ = false;
     bool finished_ = false;
+    std::uint64_t id_;
 };
 
 } // namespace bramleymux
--- a/src/gather_order.cpp
+++ b/src/gather_order.cpp
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <charconv>
+
 namespace bramleymux
 {
 
@@ -12,6 +14,8 @@
 namespace
 {
 
+constexpr const char* rest_query = "?rest=";
+
 std::int64_t
 microseconds(duration d)
 {
@@ -40,6 +44,25 @@
 
 } // namespace
 
+std::string
+rest_path(std::uint64_t rest)
+{
+    return std::string(gather_path) + rest_query + std::to_string(rest);
+}
+
+std::uint64_t
+rest_of(const std::string& path)
+{
+    const std::string prefix = std::string(gather_path) + rest_query;
+    std::uint64_t out = 0;
+    if (path.compare(0, prefix.size(), prefix) == 0)
+    {
+        std::from_chars(
+            path.data() + prefix.size(), path.data() + path.size(), out);
+    }
+    return out;
+}
+
 std::string
 encode_order(const gather_order& order)
 {
@@ -56,6 +79,7 @@
             {"body", binary(m.body)},
             {"left", microseconds(m.time_left.value_or(duration::zero()))},
             {"within", microseconds(order.reply_within)},
+            {"rest", microseconds(order.rest_within)},
             {"expected", microseconds(order.expected)},
             {"limit", order.result_limit}, {"least", order.least_parts},
             {"shards", order.shards}},
@@ -83,6 +107,7 @@
         m.body = bytes_of(value.at("body"));
         m.time_left = duration_of(value.at("left"));
         out.reply_within = duration_of(value.at("within"));
+        out.rest_within = duration_of(value.at("rest"));
         out.expected = duration_of(value.at("expected"));
         out.result_limit = value.at("limit").get<std::size_t>();
         out.least_parts = value.at("least").get<std::size_t>();
@@ -102,6 +127,7 @@
     json states = json::array();
     json proofs = json::array();
     json times = json::array();
+    json bodies = json::array();
     for (const gather_part& part : parts.parts)
     {
         states.push_back(static_cast<int>(part.state));
@@ -109,12 +135,14 @@
         {
             proofs.push_back(part.proof);
             times.push_back(microseconds(part.took));
+            bodies.push_back(binary(part.records));
         }
     }
     std::string out;
     json::to_cbor(
         json{{"states", std::move(states)}, {"proofs", std::move(proofs)},
-            {"times", std::move(times)}, {"records", binary(parts.records)}},
+            {"times", std::move(times)}, {"bodies", std::move(bodies)},
+            {"rest", parts.rest}, {"records", binary(parts.records)}},
         out);
     return out;
 }
@@ -140,11 +168,13 @@
             {
                 part.proof = value.at("proofs").at(answered).get<std::string>();
                 part.took = duration_of(value.at("times").at(answered));
+                part.records = bytes_of(value.at("bodies").at(answered));
                 ++answered;
             }
             out.parts.push_back(std::move(part));
         }
         out.records = bytes_of(value.at("records"));
+        out.rest = value.at("rest").get<std::uint64_t>();
         return out;
     }
     catch (const json::exception&)
--- a/tests/test_gather_orders.cpp
+++ b/tests/test_gather_orders.cpp
@@ -179,6 +179,8 @@
     parts.parts.resize(3);
     parts.parts[1] = {part_state::answered, "proof", 7ms};
     parts.parts[2].state = part_state::unknown;
+    parts.parts[1].records = record('2');
+    parts.rest = 9;
     parts.records = record('1');
     const auto back = decode_parts(encode_parts(parts));
     REQUIRE(back);
@@ -187,6 +189,10 @@
     CHECK(back->parts[1].took == 7ms);
     CHECK(back->parts[2].state == part_state::unknown);
     CHECK(back->records == record('1'));
+    CHECK(back->parts[1].records == record('2'));
+    CHECK(back->rest == 9);
+    CHECK(rest_of(rest_path(9)) == 9);
+    CHECK(rest_of(std::string(gather_path)) == 0);
 }
 
 // Guards against bytes from outside that end the process.
@@ -291,6 +297,55 @@
     CHECK(z.west.received() == 1);
 }
 
+// Guards against a late reply that is thrown away: the hedge goes to a target
+// that is as slow, and the first one answers in time.
+TEST_CASE("a late reply of a handed-back shard is collected", "[entry]")
+{
+    three_zones z;
+    z.vm.delegates.set_vms({z.delegate.registration()});
+    z.south.targets[1]->set_script(
+        [](const http_request& r)
+        {
+            scripted_reply out = good(r, "south1", record('2'));
+            out.wait = 550ms;
+            return out;
+        });
+    z.west.targets[1]->set_script(
+        [](const http_request&) -> scripted_reply
+        {
+            scripted_reply out;
+            out.silent = true;
+            return out;
+        });
+    const http_reply reply = z.ask();
+    CHECK(reply.status == 200);
+    CHECK(proofs_of(reply) ==
+          std::set<std::string>{"south0", "south1", "south2"});
+    CHECK(reply.body == record('3') + record('2') + record('1'));
+    CHECK(count(z.vm, counter::shards_handed_back) == 1);
+}
+
+// Guards against late replies of another request, and against a delegate that
+// is left out because it no longer has any.
+TEST_CASE("late replies that are gone cost no delegate", "[entry]")
+{
+    three_zones z;
+    z.vm.delegates.set_vms({z.delegate.registration()});
+    test_caller runner(z.vm.loop, z.vm.caller_address());
+    int replies = 0;
+    delegate_outcome outcome = delegate_outcome::parts;
+    z.vm.delegates.collect("vm-s", 1, 3, 20s,
+        [&](delegate_reply&& reply)
+        {
+            ++replies;
+            outcome = reply.outcome;
+        });
+    runner.run_until([&] { return replies == 1; });
+    CHECK(outcome != delegate_outcome::parts);
+    CHECK(z.vm.delegates.zones().size() == 1);
+    CHECK(z.vm.delegates.collect("vm-x", 1, 3, 1s, {}) == 0);
+}
+
 // Guards against a delegate that is gone without a word: its shards were
 // lost, and each later request waited for it again.
 TEST_CASE(
