--- a/src/config.hpp
+++ b/src/config.hpp
@@ -406,6 +406,9 @@
 // A removed registration is kept this long as a last resort: registrations can
 // lapse by mistake and come back.
 inline constexpr auto lapsed_grace = 1800ms;
+// Of the time in which a leaving target must be free of new work.
+inline constexpr double lapsed_grace_share = 0.5;
+inline constexpr auto default_leave_bound = 3s;
 
 // A caller with less of its usual time left than this share is repeating.
 inline constexpr double least_spent_share = 0.03;
--- a/src/entry_settings.cpp
+++ b/src/entry_settings.cpp
@@ -101,6 +101,7 @@
 }
 
 constexpr double longest_time_s = 3600;
+constexpr double ms_per_s = 1000;
 
 } // namespace
 
@@ -130,6 +131,10 @@
         keys.number("extra_load/slack", out.extra_load.slack, 0, 1e6);
     out.extra_load.window = seconds(keys.number("extra_load/window_s",
         in_seconds(out.extra_load.window), 0.1, longest_time_s));
+    out.leave_bound = seconds(
+        keys.number("target/leave_ms", in_seconds(out.leave_bound) * ms_per_s,
+            0, longest_time_s * ms_per_s) /
+        ms_per_s);
     out.rollout.share = keys.number("rollout/share", out.rollout.share, 0, 1);
     out.rollout.slack = keys.number("rollout/slack", out.rollout.slack, 0, 1e6);
     const double grace = keys.number("stop/grace_s",
--- a/src/entry_settings.hpp
+++ b/src/entry_settings.hpp
@@ -24,6 +24,7 @@
     std::string store_address;    ///< IP:port of the platform's store
 
     extra_load_limits extra_load;
+    duration leave_bound = config::default_leave_bound; ///< of targets
     rollout_limits rollout;
     stop_times stop;
 };
--- a/src/target_pool.hpp
+++ b/src/target_pool.hpp
@@ -23,6 +23,8 @@
 {
     std::string zone; ///< of this VM
     extra_load_limits extra_load;
+    /// A target that leaves gets no new work after this time.
+    duration leave_bound = config::default_leave_bound;
 };
 
 struct send_result
@@ -74,7 +76,8 @@
     put(const target_record& record);
 
     /// A registration was removed. The target stays a last resort for
-    /// `config::lapsed_grace`.
+    /// `config::lapsed_grace`, or less where the bound on leaving targets is
+    /// short.
     void
     remove(const std::string& id);
 
@@ -223,6 +226,8 @@
     on_probe(const std::string& id, link_result&& result);
     void
     tick_links(entry& e, monotonic_time now);
+    duration
+    lapsed_grace() const;
     void
     drop(entry& e);
     service_state&
--- a/src/target_pool_upkeep.cpp
+++ b/src/target_pool_upkeep.cpp
@@ -79,6 +79,15 @@
     note_probe_failed(e.state, now);
 }
 
+/// A removal may be a mistake, or the only word of a target that leaves.
+duration
+target_pool::lapsed_grace() const
+{
+    return std::min<duration>(config::lapsed_grace,
+        std::chrono::duration_cast<duration>(
+            options_.leave_bound * config::lapsed_grace_share));
+}
+
 void
 target_pool::drop(entry& e)
 {
@@ -163,8 +172,8 @@
     {
         entry& e = *it->second;
         tick_links(e, now);
-        const bool gone = e.state.lapsed_at &&
-                          now - *e.state.lapsed_at > config::lapsed_grace;
+        const bool gone =
+            e.state.lapsed_at && now - *e.state.lapsed_at > lapsed_grace();
         if (gone)
         {
             log_target(event::target_lapsed, e, "gone");
--- a/tests/entry_fixture.hpp
+++ b/tests/entry_fixture.hpp
@@ -297,7 +297,7 @@
     entry_vm()
         : null_device(::open("/dev/null", O_WRONLY)), log("vm-1", null_device),
           random(1), pool(loop, platform::wire(), counters, log,
-                         {"north", {0.2, 100.0, 10s}}),
+                         {"north", {0.2, 100.0, 10s}, 3s}),
           delegates(loop, counters, log, "vm-1", "north"), context{loop, pool,
                                                                delegates,
                                                                platform::wire(),
--- a/tests/test_entry_path.cpp
+++ b/tests/test_entry_path.cpp
@@ -496,3 +496,20 @@
     CHECK(spent_before(stats, 1490ms) == duration::zero());
     CHECK(spent_before(stats, 1400ms) == 100ms);
 }
+
+// Guards against work for a target that left without a word: its removed
+// registration was a last resort for 1.8 s whatever the bound on leaving
+// targets, which may be shorter.
+TEST_CASE("a removed target is a last resort within the bound only", "[entry]")
+{
+    entry_vm vm;
+    stand_in_target target(vm.loop, "t1",
+        [](const http_request& r) { return good(r, "p1", "x"); });
+    vm.pool.put(target.record("s", "north"));
+    vm.pool.remove("t1");
+    vm.pool.tick();
+    CHECK(vm.pool.choose("s", {}) != nullptr);
+    vm.pool.set_options({"north", {0.2, 100.0, 10s}, 0ms});
+    vm.pool.tick();
+    CHECK(vm.pool.choose("s", {}) == nullptr);
+}
--- a/tests/test_entry_settings.cpp
+++ b/tests/test_entry_settings.cpp
@@ -21,6 +21,7 @@
     findings found;
     const entry_settings values = parse_entry_settings(
         good + "[extra_load]\nratio = 0.3\nslack = 56\nwindow_s = 5\n"
+               "[target]\nleave_ms = 1500\n"
                "[rollout]\nshare = 0.2\nslack = 30\n"
                "[stop]\ngrace_s = 8\n",
         "file", found);
@@ -28,6 +29,7 @@
     CHECK(values.extra_load.ratio == 0.3);
     CHECK(values.extra_load.slack == 56);
     CHECK(values.extra_load.window == 5s);
+    CHECK(values.leave_bound == 1500ms);
     CHECK(values.rollout.share == 0.2);
     CHECK(values.rollout.slack == 30);
     CHECK(values.stop.exit_at == 7500ms);
--- a/tests/test_gather_orders.cpp
+++ b/tests/test_gather_orders.cpp
@@ -21,7 +21,7 @@
 {
     delegate_vm(entry_vm& other, const std::string& id, const std::string& z)
         : zone(z), pool(other.loop, platform::wire(), other.counters, other.log,
-                       {z, {0.2, 100.0, 10s}}),
+                       {z, {0.2, 100.0, 10s}, 3s}),
           delegates(other.loop, other.counters, other.log, id, z),
           context{other.loop, pool, delegates, platform::wire(), other.counters,
               other.log, routes, other.random},
@@ -177,7 +177,7 @@
 
     gather_parts parts;
     parts.parts.resize(3);
-    parts.parts[1] = {part_state::answered, "proof", 7ms};
+    parts.parts[1] = {part_state::answered, "proof", 7ms, {}};
     parts.parts[2].state = part_state::unknown;
     parts.parts[1].records = record('2');
     parts.rest = 9;
@@ -201,7 +201,7 @@
     CHECK(!decode_order(""));
     CHECK(!decode_parts(""));
     const std::string whole =
-        encode_parts({{{part_state::answered, "p", 1ms}}, record('1')});
+        encode_parts({{{part_state::answered, "p", 1ms, {}}}, record('1')});
     const auto property = [&](std::string bytes, std::uint8_t cut)
     {
         static_cast<void>(decode_order(bytes));
