Take an order's delegation in one place

Cause: the handlers of an order's first and late replies each looked up and removed the delegation. Change: take_delegation serves both; behaviour is as before.

--- a/src/entry_query.hpp
+++ b/src/entry_query.hpp
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -84,6 +85,8 @@
     delegate(gather_group&& group);
     gather_order
     order_for(const gather_group& group) const;
+    std::optional<delegation>
+    take_delegation(order_id id);
     void
     on_delegate(order_id id, delegate_reply&& reply);
     void
--- a/src/entry_query_delegate.cpp
+++ b/src/entry_query_delegate.cpp
@@ -112,17 +112,30 @@
     delegations_.push_back({*id, group.zone, std::move(group.shards)});
 }
 
-void
-entry_query::on_delegate(order_id id, delegate_reply&& reply)
+/// Empty when the reply is no longer wanted.
+std::optional<entry_query::delegation>
+entry_query::take_delegation(order_id id)
 {
     const auto found = std::find_if(delegations_.begin(), delegations_.end(),
         [&](const delegation& d) { return d.id == id; });
     if (finished_ || found == delegations_.end())
     {
-        return;
+        return std::nullopt;
     }
-    const delegation from = std::move(*found);
+    delegation out = std::move(*found);
     delegations_.erase(found);
+    return out;
+}
+
+void
+entry_query::on_delegate(order_id id, delegate_reply&& reply)
+{
+    const std::optional<delegation> taken = take_delegation(id);
+    if (!taken)
+    {
+        return;
+    }
+    const delegation& from = *taken;
     for (const std::size_t i : from.lanes)
     {
         lanes_[i].delegated = false;
@@ -246,14 +259,12 @@
 void
 entry_query::on_rest(order_id id, delegate_reply&& reply)
 {
-    const auto found = std::find_if(delegations_.begin(), delegations_.end(),
-        [&](const delegation& d) { return d.id == id; });
-    if (finished_ || found == delegations_.end())
+    const std::optional<delegation> taken = take_delegation(id);
+    if (!taken)
     {
         return;
     }
-    const delegation from = std::move(*found);
-    delegations_.erase(found);
+    const delegation& from = *taken;
     for (std::size_t i = 0; i < from.lanes.size(); ++i)
     {
         lane& l = lanes_[from.lanes[i]];
