End health probes that get no reply

Cause: a probe had no timeout. A target that accepted the connection of a probe and never replied, or sent interim replies without end, kept the probe running and stayed blocked until it closed the connection. A probe was also matched to its target by id alone, so one of an earlier registration could unblock the next process of that id. Change: the connection of a probe is closed after config::health_timeout, and a probe carries a number that the registration must still hold. Result: "a health probe without a reply is repeated" fails without the change (the target was not served again within the test's 30 s) and passes with it. "an endless reply ends its connection, not the query" covers seven kinds of endless replies and passed before the change too: heads, header lines, chunk sizes and bodies are bounded, interim replies end with the query.

--- a/src/target_pool.hpp
+++ b/src/target_pool.hpp
@@ -233,7 +233,7 @@
     void
     probe(entry& e);
     void
-    on_probe(const std::string& id, link_result&& result);
+    on_probe(const std::string& id, std::uint64_t number, link_result&& result);
     void
     tick_links(entry& e, monotonic_time now);
     duration
@@ -260,6 +260,7 @@
     std::unordered_map<std::string, std::unique_ptr<service_state>> services_;
     std::unordered_map<send_id, pending_send> sends_;
     send_id last_send_ = 0;
+    std::uint64_t last_probe_ = 0;
     std::mt19937_64 random_;
 };
 
--- a/src/target_pool_state.hpp
+++ b/src/target_pool_state.hpp
@@ -33,7 +33,10 @@
     boost::asio::ip::tcp::endpoint endpoint;
     service_state* service = nullptr;
     std::vector<std::shared_ptr<target_link>> links;
-    bool removed = false; ///< dropped; idle connections are closed
+    std::weak_ptr<target_link> probe_link;
+    std::uint64_t probe_number = 0; ///< of the latest probe
+    monotonic_time probe_until{};   ///< when its connection is closed
+    bool removed = false;           ///< dropped; idle connections are closed
 };
 
 struct target_pool::pending_send
--- a/src/target_pool_upkeep.cpp
+++ b/src/target_pool_upkeep.cpp
@@ -26,14 +26,17 @@
 {
     e.state.probing = true;
     metrics_.add(counter::health_probes);
+    e.probe_number = ++last_probe_;
+    e.probe_until = monotonic_clock::now() + config::health_timeout;
     const std::string id = e.state.record.id;
-    open_link(e,
-        [this, id](const std::shared_ptr<target_link>& link)
+    e.probe_link = open_link(e,
+        [this, id, number = e.probe_number](
+            const std::shared_ptr<target_link>& link)
         {
             const auto found = entries_.find(id);
             if (!link || found == entries_.end())
             {
-                on_probe(id, {});
+                on_probe(id, number, {});
                 return;
             }
             const entry& target = *found->second;
@@ -41,15 +44,19 @@
                 wire_.write_health_request(target.service->rule.health_path,
                     target.state.record.address),
                 {}, false,
-                [this, id](link_result&& r) { on_probe(id, std::move(r)); });
+                [this, id, number](link_result&& r)
+                { on_probe(id, number, std::move(r)); });
         });
 }
 
+/// Ignores a probe of an earlier registration of the id.
 void
-target_pool::on_probe(const std::string& id, link_result&& result)
+target_pool::on_probe(
+    const std::string& id, std::uint64_t number, link_result&& result)
 {
     const auto found = entries_.find(id);
-    if (found == entries_.end() || !found->second->state.probing)
+    if (found == entries_.end() || !found->second->state.probing ||
+        found->second->probe_number != number)
     {
         return;
     }
@@ -110,6 +117,12 @@
 void
 target_pool::tick_links(entry& e, monotonic_time now)
 {
+    const auto probe_link = e.probe_link.lock();
+    if (probe_link && probe_link->state() == link_state::busy &&
+        now > e.probe_until)
+    {
+        probe_link->close();
+    }
     const auto links = e.links;
     for (const auto& link : links)
     {
