Let gathered queries wait for room past their target latency

Change: such a shard waits up to config::room_wait_share of the caller's time. Requests that can still be in time take precedence as before. A request that cannot use the room, since its budget is spent, queues again, and the room is offered to up to config::max_offers_per_room requests. "a query waits for room past its target latency" fails with the former bound.

--- a/src/entry_query.cpp
+++ b/src/entry_query.cpp
@@ -164,13 +164,13 @@
         problem_code_names[static_cast<std::size_t>(code)]);
 }
 
-void
+bool
 entry_query::dispatch_or_wait(std::size_t shard_index, send_reason reason)
 {
     shard_query& shard = shards_[shard_index];
     if (dispatch(shard_index, reason))
     {
-        return;
+        return true;
     }
     shard.waiting_for_room =
         context_.pool.is_served(shard.service, shard.tried) &&
@@ -179,6 +179,7 @@
             [self = shared_from_this(), shard_index, reason]
             { return self->on_room_available(shard_index, reason); });
     shard.failed = is_exhausted(shard);
+    return false;
 }
 
 bool
@@ -190,20 +191,23 @@
     {
         return false;
     }
-    const bool stale =
-        gathers() && monotonic_clock::now() - started_ > route_.target_latency;
-    if (stale)
+    // A late answer is worth more to the caller than a failure, but the wait
+    // ends while the caller has time for another attempt.
+    const duration longest_wait = std::max<duration>(
+        route_.target_latency, std::chrono::duration_cast<duration>(
+                                   give_up_after_ * config::room_wait_share));
+    bool sent = false;
+    if (gathers() && monotonic_clock::now() - started_ > longest_wait)
     {
-        // Leave the room to requests that can still be answered in time.
         shard.reason = miss_reason::queue_full;
         shard.failed = is_exhausted(shard);
     }
     else
     {
-        dispatch_or_wait(shard_index, reason);
+        sent = dispatch_or_wait(shard_index, reason);
     }
     advance();
-    return !stale;
+    return sent;
 }
 
 void
--- a/src/entry_query.hpp
+++ b/src/entry_query.hpp
@@ -121,11 +121,13 @@
     refuse_without_sending();
     bool
     dispatch(std::size_t shard_index, send_reason reason);
-    /// Dispatches now, or queues until a target has room. The shard has failed
-    /// if neither is possible and no other send is active.
-    void
+    /// Dispatches now, or queues until a target has room and the budget allows
+    /// the send. The shard has failed if neither is possible and no other send
+    /// is active. Returns whether it dispatched.
+    bool
     dispatch_or_wait(std::size_t shard_index, send_reason reason);
-    /// Uses room at a target. Returns false when the shard no longer needs it.
+    /// Uses room at a target. Returns false when the shard does not need it or
+    /// queues again.
     bool
     on_room_available(std::size_t shard_index, send_reason reason);
     void
--- a/src/target_pool.cpp
+++ b/src/target_pool.cpp
@@ -307,13 +307,15 @@
 
 /// Serves the oldest request that can still meet its target latency; late ones
 /// only if there is no other. Requests that no longer need a target are
-/// removed.
+/// removed; those that cannot use it, since their budget is spent, queue again.
 void
 target_pool::serve_waiter(service_state& service)
 {
     const monotonic_time now = monotonic_clock::now();
     bool used = false;
-    while (!used && !service.waiters.empty())
+    std::size_t offers =
+        std::min(service.waiters.size(), config::max_offers_per_room);
+    for (; !used && offers > 0; --offers)
     {
         auto next = std::find_if(service.waiters.begin(), service.waiters.end(),
             [&](const waiter& w) { return now < w.stale_at; });
--- a/src/target_pool.hpp
+++ b/src/target_pool.hpp
@@ -133,9 +133,9 @@
     targets_in(const std::string& service, const std::string& zone) const;
 
     /// Queues a request until a target of the service may have capacity, then
-    /// calls `ready` from the event loop; `ready` returns false if the request
-    /// no longer needs a target. After `stale_at` other requests take
-    /// precedence. Returns false if the queue is full.
+    /// calls `ready` from the event loop; `ready` returns whether the request
+    /// used the capacity, and may queue again. After `stale_at` other requests
+    /// take precedence. Returns false if the queue is full.
     bool
     wait_for_room(const std::string& service, monotonic_time stale_at,
         std::function<bool()> ready);
--- a/tests/test_entry_path.cpp
+++ b/tests/test_entry_path.cpp
@@ -472,6 +472,41 @@
     CHECK(a.received.size() == 6);
 }
 
+// Guards against a gathered query that fails at its target latency because one
+// shard still waits for room, though its caller waits much longer.
+TEST_CASE("a query waits for room past its target latency", "[entry]")
+{
+    entry_vm vm;
+    stand_in_target shedding(vm.loop, "ta", shed);
+    stand_in_target busy(vm.loop, "tb",
+        [](const parsed_request& r)
+        {
+            scripted_reply out = good(r, "pb", record('1'));
+            out.wait = 150ms;
+            return out;
+        });
+    vm.pool.put(shedding.record("s", "north"));
+    vm.pool.put(busy.record("s", "far"));
+    service_rule rule;
+    rule.name = "s";
+    rule.max_connections = 1;
+    desired_state state;
+    state.version = 1;
+    state.services = {rule};
+    state.routes = {entry_vm::make_route("q", {"s"}, true, true)};
+    state.routes[0].target_latency = 100ms;
+    vm.server.adopt(std::make_shared<const desired_state>(state));
+    test_caller first(vm.loop, vm.caller_address());
+    first.send(get("/q/1", "r1"));
+    first.run_until([&] { return busy.received.size() == 1; });
+    test_caller second(vm.loop, vm.caller_address());
+    second.send(get("/q/1", "r2"));
+    CHECK(first.reply().status == 200);
+    CHECK(second.reply().status == 200);
+    CHECK(busy.received.size() == 2);
+    CHECK(busy.connections == 1);
+}
+
 // Guards against a VM that stays ready while its zone is cut off, though VMs of
 // other zones could serve its callers, and against one that stays unready after
 // the targets are reachable again.
