Choose targets and divide connections by what targets can take

Cause: the cost of another zone was a factor of 7, so a target of the own zone that shed six in ten requests (factor 3), failed half of them (5) or was six times slower was still preferred to a healthy one elsewhere; a VM of a large fleet also forgot a slow reply (half-life 2 s) before its next request to that target. Delegates asked only targets of their own zone. Change: another zone is a surcharge that is added to the cost; sheds are a moving average like errors; a sample weighs more the longer the previous one is past; delegates may ask other zones. link_plan divides the connections: most to the VMs of the target's zone, the rest to a part of the others, without agreement. A shard whose own-zone target is unhealthy is ordered elsewhere.

--- a/src/config.hpp
+++ b/src/config.hpp
@@ -387,6 +387,9 @@
 
 // Share of a target's accepted connections that all VMs may use together.
 inline constexpr double target_connection_share = 0.9;
+// Part of them for the VMs of the target's zone, if there are too few for
+// `min_links_per_target` of every VM.
+inline constexpr double own_zone_connection_share = 0.6;
 // Connections of one VM to one target.
 inline constexpr std::size_t min_links_per_target = 2;
 inline constexpr std::size_t max_links_per_target = 8;
@@ -460,22 +463,33 @@
 inline constexpr auto cut_off_after = 800ms;
 
 // Choice of a target. The factors multiply the cost of a target in the state
-// that they name; the one of another zone is above the spread of speeds.
-inline constexpr double other_zone_cost_factor = 7.0;
+// that they name; the surcharge of another zone is added to it and is above the
+// spread of speeds.
+inline constexpr double other_zone_cost = 6.0;
+// Surcharge of a target to which this VM should keep no connection. It is used
+// when all others are slower by more than this or unusable.
+inline constexpr double unplanned_cost = 6.0;
 inline constexpr double choice_jitter = 0.15;
 inline constexpr double stalled_cost_factor = 12.0;
 inline constexpr double cold_cost_factor = 4.0;
 // Share of the request rate that a cold target bears. The rest allows for
 // requests of several VMs that arrive at once.
 inline constexpr double cold_rate_share = 0.6;
-// Times the error rate, added to 1.
-inline constexpr double error_cost_factor = 8.0;
-inline constexpr double shed_cost_factor = 3.0;
-inline constexpr auto shed_avoidance_time = 300ms;
-inline constexpr auto load_report_max_age = 100ms;
-inline constexpr double target_stats_gain = 0.3;
+// Times the error or shed rate, added to 1. A rate of one in four outweighs the
+// surcharge of another zone.
+inline constexpr double error_cost_factor = 24.0;
+inline constexpr double shed_cost_factor = 24.0;
+inline constexpr auto load_report_max_age = 100ms; // for saturation
+inline constexpr auto load_cost_max_age = 2s;
+// Weight of a new sample: it halves the weight of older ones if it comes this
+// long after the previous one, within the bounds. A VM of a large fleet sees a
+// target seldom and must learn from one reply, while a VM with many replies
+// must not take one pause for a slow target.
+inline constexpr auto target_sample_half_life = 300ms;
+inline constexpr double min_target_sample_weight = 0.1;
+inline constexpr double max_target_sample_weight = 0.5;
 inline constexpr double max_relative_latency = 20.0;
-inline constexpr auto target_stats_half_life = 2s;
+inline constexpr auto target_stats_half_life = 5s;
 // A target is stalled while a send runs longer than the floor plus the multiple
 // of its expected latency.
 inline constexpr auto min_stall_time = 20ms;
--- a/src/gather_job.cpp
+++ b/src/gather_job.cpp
@@ -110,8 +110,10 @@
 void
 gather_job::send(std::size_t shard)
 {
-    target_state* target =
-        context_.pool.choose(order_.shards[shard], {}, choice_scope::own_zone);
+    // The own zone is preferred, but a target of it that is slow or fails gives
+    // way to one of another zone: this VM has seen it more often than the VM
+    // that sent the order.
+    target_state* target = context_.pool.choose(order_.shards[shard], {});
     if (target == nullptr)
     {
         return;
--- a/src/target_choice.cpp
+++ b/src/target_choice.cpp
@@ -21,13 +21,25 @@
     return std::exp2(-std::max(elapsed / half_life, 0.0));
 }
 
-/// Decays the relative latency and the error rate to `now`.
+/// Returns the weight of a sample taken at `now`.
+double
+sample_weight(const target_state& target, monotonic_time now)
+{
+    const std::chrono::duration<double> elapsed = now - target.measured_at;
+    const std::chrono::duration<double> half_life =
+        config::target_sample_half_life;
+    return std::clamp(1.0 - std::exp2(-elapsed / half_life),
+        config::min_target_sample_weight, config::max_target_sample_weight);
+}
+
+/// Decays the moving averages to `now`.
 void
 apply_decay(target_state& target, monotonic_time now)
 {
     const double kept = decay_factor(target, now);
     target.relative_latency = 1.0 + (target.relative_latency - 1.0) * kept;
     target.error_rate *= kept;
+    target.shed_rate *= kept;
     target.measured_at = now;
 }
 
@@ -54,7 +66,8 @@
 }
 
 void
-record_outcome(target_state& target, send_outcome outcome, monotonic_time now)
+record_outcome(target_state& target, send_outcome outcome, double weight,
+    monotonic_time now)
 {
     if (outcome == send_outcome::cancelled)
     {
@@ -63,17 +76,15 @@
     const bool error = outcome == send_outcome::failed ||
                        outcome == send_outcome::broken ||
                        outcome == send_outcome::unreachable;
-    target.error_rate +=
-        config::target_stats_gain * ((error ? 1.0 : 0.0) - target.error_rate);
+    target.error_rate += weight * ((error ? 1.0 : 0.0) - target.error_rate);
+    const bool shed = outcome == send_outcome::shed;
+    target.shed_rate += weight * ((shed ? 1.0 : 0.0) - target.shed_rate);
     switch (outcome)
     {
     case send_outcome::good:
     case send_outcome::failed:
         target.failures = 0;
         break;
-    case send_outcome::shed:
-        target.shed_until = now + config::shed_avoidance_time;
-        break;
     case send_outcome::unreachable:
         block(target, now);
         break;
@@ -126,16 +137,16 @@
     }
     const running_send send = *found;
     target.running.erase(found);
+    const double weight = sample_weight(target, now);
     apply_decay(target, now);
-    const double step = config::target_stats_gain *
-                        (relative_latency_of(now - send.since, send.expected) -
-                            target.relative_latency);
+    const double excess = relative_latency_of(now - send.since, send.expected) -
+                          target.relative_latency;
     if (outcome == send_outcome::good ||
-        (outcome == send_outcome::cancelled && step > 0.0))
+        (outcome == send_outcome::cancelled && excess > 0.0))
     {
-        target.relative_latency += step;
+        target.relative_latency += weight * excess;
     }
-    record_outcome(target, outcome, now);
+    record_outcome(target, outcome, weight, now);
     return now - send.since;
 }
 
@@ -147,12 +158,12 @@
             [&](const running_send& s) { return s.id == id; });
     if (found != target.running.end())
     {
+        const double weight = sample_weight(target, now);
         apply_decay(target, now);
         const double sample =
             relative_latency_of(now - found->since, found->expected);
         target.relative_latency +=
-            config::target_stats_gain *
-            std::max(sample - target.relative_latency, 0.0);
+            weight * std::max(sample - target.relative_latency, 0.0);
     }
 }
 
@@ -238,22 +249,23 @@
     return !is_limited(target, context) || context.now >= target.cold_next;
 }
 
+namespace
+{
+
+/// Cost without the surcharges of its place.
 double
-cost_of(const target_state& target, const choice_context& context)
+cost_of_state(const target_state& target, const choice_context& context)
 {
     const double kept = decay_factor(target, context.now);
     const double slots = std::max(target.record.slots, 1U);
     const bool load_known =
-        context.now - target.load_at < config::target_stats_half_life;
+        context.now - target.load_at < config::load_cost_max_age;
     const double waiting = load_known ? target.load.waiting : 0.0;
     const auto running = static_cast<double>(target.running.size());
     double cost = 1.0 + (target.relative_latency - 1.0) * kept;
     cost *= 1.0 + (running + waiting) / slots;
     cost *= 1.0 + config::error_cost_factor * target.error_rate * kept;
-    if (context.zone != nullptr && target.record.zone != *context.zone)
-    {
-        cost *= config::other_zone_cost_factor;
-    }
+    cost *= 1.0 + config::shed_cost_factor * target.shed_rate * kept;
     if (is_stalled(target, context.now))
     {
         cost *= config::stalled_cost_factor;
@@ -262,9 +274,28 @@
     {
         cost *= config::cold_cost_factor;
     }
-    if (context.now < target.shed_until)
+    return cost;
+}
+
+} // namespace
+
+bool
+is_healthy(const target_state& target, const choice_context& context)
+{
+    return cost_of_state(target, context) < 1.0 + config::other_zone_cost;
+}
+
+double
+cost_of(const target_state& target, const choice_context& context)
+{
+    double cost = cost_of_state(target, context);
+    if (context.zone != nullptr && target.record.zone != *context.zone)
+    {
+        cost += config::other_zone_cost;
+    }
+    if (target.unplanned)
     {
-        cost *= config::shed_cost_factor;
+        cost += config::unplanned_cost;
     }
     return cost;
 }
--- a/src/target_choice.hpp
+++ b/src/target_choice.hpp
@@ -34,8 +34,8 @@
     /// towards 1. Logged as `pace`.
     double relative_latency = 1.0;
     double error_rate = 0.0;      ///< moving average; decays towards 0
-    monotonic_time measured_at{}; ///< time up to which both are decayed
-    monotonic_time shed_until{};  ///< end of the extra cost after a shed
+    double shed_rate = 0.0;       ///< moving average; decays towards 0
+    monotonic_time measured_at{}; ///< time up to which all three are decayed
     target_load load;             ///< last load that the target reported
     monotonic_time load_at{};
 
@@ -44,6 +44,7 @@
     bool blocked = false;       ///< no requests until a health probe succeeds
     bool probing = false;       ///< a health probe is running
     bool full = false;          ///< no idle connection, and no more allowed
+    bool unplanned = false;     ///< this VM's part of its connections is none
     bool misdirected = false;   ///< another process has the address
     std::uint32_t failures = 0; ///< since a reply; each doubles the delay
     monotonic_time probe_at{};  ///< earliest next health probe
@@ -138,10 +139,18 @@
 is_usable(const target_state& target, const choice_context& context,
     bool last_resort);
 
-/// Returns the relative cost of one more request; lower is better.
+/// Returns the relative cost of one more request; lower is better. A healthy
+/// idle target costs 1. The surcharge of another zone is added, not multiplied,
+/// so that a target that is slow, fails or sheds loses against a healthy one
+/// in another zone.
 double
 cost_of(const target_state& target, const choice_context& context);
 
+/// Returns whether the target is fast and reliable enough to be preferred to an
+/// idle one in another zone.
+bool
+is_healthy(const target_state& target, const choice_context& context);
+
 /// Returns the usable target of least cost that has capacity and has not been
 /// tried, or null. Lapsed targets are considered only if there is no other.
 target_state*
--- a/src/target_pool.cpp
+++ b/src/target_pool.cpp
@@ -1,12 +1,15 @@
 #include "target_pool.hpp"
 
 #include "config.hpp"
+#include "link_plan.hpp"
 #include "stream_socket.hpp"
 #include "target_pool_state.hpp"
 
 #include <boost/asio/post.hpp>
+#include <xxhash.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace bramleymux
 {
@@ -42,6 +45,27 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(d).count();
 }
 
+/// Returns a hash of the id between 0 and 1.
+double
+hash_share(const std::string& id)
+{
+    return std::ldexp(static_cast<double>(XXH32(id.data(), id.size(), 0)), -32);
+}
+
+void
+add_reach(shard_reach& reach, const std::string& zone, const std::string& own)
+{
+    if (zone == own)
+    {
+        reach.own_zone = true;
+    }
+    else if (std::find(reach.zones.begin(), reach.zones.end(), zone) ==
+             reach.zones.end())
+    {
+        reach.zones.push_back(zone);
+    }
+}
+
 } // namespace
 
 bool
@@ -52,10 +76,27 @@
            result.reply.status < first_redirect;
 }
 
+vm_counts
+count_vms(const std::vector<registered_vm>& vms, const registered_vm& self)
+{
+    vm_counts out;
+    out.total = vms.size();
+    std::size_t before = 0;
+    for (const registered_vm& vm : vms)
+    {
+        ++out.by_zone[vm.zone];
+        before += vm.zone == self.zone && vm.id < self.id ? 1 : 0;
+    }
+    const std::size_t in_zone = out.by_zone[self.zone];
+    out.zone_position = static_cast<double>(before) /
+                        static_cast<double>(std::max<std::size_t>(in_zone, 1));
+    return out;
+}
+
 target_pool::target_pool(boost::asio::io_context& loop, const entry_wire& wire,
     metrics& counters, decision_log& log, pool_options options)
     : loop_(loop), wire_(wire), metrics_(counters), log_(log),
-      options_(std::move(options)), vms_(config::assumed_vms),
+      options_(std::move(options)), vms_{config::assumed_vms, {}, 0.0},
       random_(std::random_device{}())
 {
 }
@@ -87,7 +128,7 @@
     out.now = monotonic_clock::now();
     out.zone = &options_.zone;
     out.zones_out = &zones_out_;
-    out.vms = vms_;
+    out.vms = vms_.total;
     out.cold_rate = service == nullptr ? 0.0 : service->rule.cold_rate;
     return out;
 }
@@ -137,11 +178,13 @@
         slot->service->targets.push_back(&slot->state);
         slot->endpoint = *endpoint;
         slot->state.measured_at = monotonic_clock::now();
+        slot->hash = hash_share(record.id);
     }
     entry& e = *slot;
     const bool was_leaving = e.state.record.leaving;
     e.state.record = record;
     e.state.lapsed_at.reset();
+    plan_links_of(e);
     record_cold_start(
         e.state, record.cold_start_left, context_of(e.service), random_);
     if (fresh || was_leaving != record.leaving)
@@ -170,9 +213,10 @@
 }
 
 void
-target_pool::set_vms(std::size_t vms)
+target_pool::set_vms(vm_counts vms)
 {
-    vms_ = std::max<std::size_t>(vms, 1);
+    vms_ = std::move(vms);
+    vms_.total = std::max<std::size_t>(vms_.total, 1);
 }
 
 void
@@ -182,6 +226,10 @@
     {
         service_of(rule.name).rule = rule;
     }
+    for (const auto& [id, e] : entries_)
+    {
+        plan_links_of(*e);
+    }
 }
 
 target_state*
@@ -237,29 +285,26 @@
 shard_reach
 target_pool::reach_of(const std::string& service) const
 {
-    shard_reach out;
     const auto found = services_.find(service);
     if (found == services_.end())
     {
-        return out;
+        return {};
     }
     const choice_context context = context_of(found->second.get());
+    shard_reach healthy;
+    shard_reach usable;
     for (const target_state* t : found->second->targets)
     {
-        const std::string& zone = t->record.zone;
-        if (!is_usable(*t, context, false))
-        {
-            continue;
-        }
-        out.own_zone = out.own_zone || zone == options_.zone;
-        const bool known = std::find(out.zones.begin(), out.zones.end(),
-                               zone) != out.zones.end();
-        if (zone != options_.zone && !known)
+        if (is_usable(*t, context, false))
         {
-            out.zones.push_back(zone);
+            add_reach(usable, t->record.zone, options_.zone);
+            if (is_healthy(*t, context))
+            {
+                add_reach(healthy, t->record.zone, options_.zone);
+            }
         }
     }
-    return out;
+    return healthy.own_zone || !healthy.zones.empty() ? healthy : usable;
 }
 
 std::vector<const target_state*>
@@ -378,31 +423,40 @@
     const auto found = services_.find(service);
     return found != services_.end() &&
            bramleymux::has_extra_budget(found->second->extra,
-               options_.extra_load, vms_, sends, monotonic_clock::now());
+               options_.extra_load, vms_.total, sends, monotonic_clock::now());
 }
 
 bool
 target_pool::take_extra_budget(const std::string& service)
 {
     return bramleymux::take_extra_budget(service_of(service).extra,
-        options_.extra_load, vms_, monotonic_clock::now());
+        options_.extra_load, vms_.total, monotonic_clock::now());
+}
+
+void
+target_pool::plan_links_of(entry& e)
+{
+    const std::string& zone = e.state.record.zone;
+    const auto in_zone = vms_.by_zone.find(zone);
+    link_plan plan;
+    plan.connections = e.service->rule.max_connections;
+    plan.vms_in_zone = in_zone == vms_.by_zone.end() ? 0 : in_zone->second;
+    plan.vms_elsewhere = vms_.total - std::min(vms_.total, plan.vms_in_zone);
+    plan.same_zone = zone == options_.zone;
+    plan.position = std::fmod(vms_.zone_position + e.hash, 1.0);
+    const std::size_t links = planned_links(plan);
+    e.state.unplanned = links == 0;
+    e.max_links = std::max<std::size_t>(links, 1);
 }
 
 /// Marks the target as full if it has no idle connection and this VM has
-/// reached its share of the target's connections.
+/// reached its part of the target's connections.
 void
 target_pool::refresh_room(entry& e)
 {
-    const std::uint32_t whole = e.service->rule.max_connections;
-    const auto part = static_cast<std::size_t>(
-        whole * config::target_connection_share / static_cast<double>(vms_));
-    const std::size_t cap =
-        whole == 0 ? config::max_links_per_target
-                   : std::clamp<std::size_t>(part, config::min_links_per_target,
-                         config::max_links_per_target);
     const bool idle = std::any_of(e.links.begin(), e.links.end(),
         [](const auto& l) { return l->state() == link_state::idle; });
-    e.state.full = !idle && e.links.size() >= cap;
+    e.state.full = !idle && e.links.size() >= e.max_links;
 }
 
 std::shared_ptr<target_link>
--- a/src/target_pool.hpp
+++ b/src/target_pool.hpp
@@ -4,6 +4,7 @@
 #include "extra_load_window.hpp"
 #include "gather_plan.hpp"
 #include "metrics.hpp"
+#include "relay_plan.hpp"
 #include "rollout.hpp"
 #include "target_choice.hpp"
 #include "target_link.hpp"
@@ -28,6 +29,19 @@
     duration leave_bound = config::default_leave_bound;
 };
 
+/// Registered VMs, this one included.
+struct vm_counts
+{
+    std::size_t total = 1;
+    std::unordered_map<std::string, std::size_t> by_zone;
+    /// Of this VM among those of its zone, evenly spread over 0 to 1.
+    double zone_position = 0.0;
+};
+
+/// Counts the VMs of a list as seen by `self`.
+vm_counts
+count_vms(const std::vector<registered_vm>& vms, const registered_vm& self);
+
 struct send_result
 {
     send_outcome outcome = send_outcome::unreachable;
@@ -87,9 +101,9 @@
     void
     set_zones_out(std::vector<std::string> zones);
 
-    /// Sets the number of VMs that share the budgets and connection limits.
+    /// Sets the VMs that share the budgets and connection limits.
     void
-    set_vms(std::size_t vms);
+    set_vms(vm_counts vms);
 
     /// Sets the rules of the given services; other services keep theirs.
     void
@@ -123,8 +137,8 @@
     has_room(const std::string& service,
         choice_scope scope = choice_scope::any_zone) const;
 
-    /// Returns the zones with a usable target of the service; lapsed targets do
-    /// not count.
+    /// Returns the zones with a healthy target of the service, or with a usable
+    /// one if none is healthy; lapsed targets do not count.
     shard_reach
     reach_of(const std::string& service) const;
 
@@ -206,6 +220,9 @@
     any_usable(const std::string& service, choice_scope scope, Test test) const;
     choice_context
     context_of(const service_state* service) const;
+    /// Updates this VM's part of the target's connections.
+    void
+    plan_links_of(entry& e);
     void
     refresh_room(entry& e);
     void
@@ -250,7 +267,7 @@
     metrics& metrics_;
     decision_log& log_;
     pool_options options_;
-    std::size_t vms_;
+    vm_counts vms_;
     monotonic_time last_other_zone_reply_at_{};
     monotonic_time reach_probe_at_{};
     std::vector<std::string> zones_out_;
--- a/src/target_pool_state.hpp
+++ b/src/target_pool_state.hpp
@@ -33,6 +33,8 @@
     boost::asio::ip::tcp::endpoint endpoint;
     service_state* service = nullptr;
     std::vector<std::shared_ptr<target_link>> links;
+    double hash = 0.0;         ///< of the target's id, 0 to 1
+    std::size_t max_links = 1; ///< connections of this VM
     std::weak_ptr<target_link> probe_link;
     std::uint64_t probe_number = 0; ///< of the latest probe
     monotonic_time probe_until{};   ///< when its connection is closed
--- a/tests/entry_fixture.hpp
+++ b/tests/entry_fixture.hpp
@@ -308,7 +308,7 @@
                                                                routes, random},
           server(context, {200ms, 400ms})
     {
-        pool.set_vms(1);
+        pool.set_vms({1, {}, 0.0});
         REQUIRE(server.listen("127.0.0.1:0", "127.0.0.1:0", "", "127.0.0.1:0"));
         tick();
     }
--- a/tests/test_entry_decisions.cpp
+++ b/tests/test_entry_decisions.cpp
@@ -209,6 +209,56 @@
     CHECK(choose_target(both, context_at(start + 300ms), random) == &far);
 }
 
+// Guards against requests that go on to a target of the own zone while it sheds
+// or fails most of them and a healthy one stands in another zone.
+TEST_CASE("a target that sheds or fails gives way to another zone", "[entry]")
+{
+    for (const send_outcome outcome :
+        {send_outcome::shed, send_outcome::failed, send_outcome::broken})
+    {
+        CAPTURE(outcome);
+        target_state near = make_target("n", "north");
+        target_state far = make_target("f", "south");
+        std::mt19937_64 random(1);
+        monotonic_time now = start;
+        int to_near = 0;
+        for (std::uint64_t i = 0; i < 200; ++i, now += 20ms)
+        {
+            target_state* chosen =
+                choose_target({&near, &far}, context_at(now), random);
+            REQUIRE(chosen != nullptr);
+            to_near += chosen == &near ? 1 : 0;
+            // Six in ten requests to the near target fail.
+            const bool bad = chosen == &near && i % 5 < 3;
+            record_sent(*chosen, i, 20ms, now);
+            record_ended(
+                *chosen, i, bad ? outcome : send_outcome::good, now + 10ms);
+        }
+        CHECK(to_near < 20);
+        CHECK(choose_target({&near, &far}, context_at(now + 30s), random) ==
+              &near);
+    }
+}
+
+// Guards against a slow target of the own zone that is preferred because one
+// slow reply is forgotten before this VM's next request to it.
+TEST_CASE("one very slow reply is remembered for some seconds", "[entry]")
+{
+    target_state near = make_target("n", "north");
+    target_state far = make_target("f", "south");
+    std::mt19937_64 random(1);
+    record_sent(near, 1, 20ms, start);
+    record_ended(near, 1, send_outcome::good, start + 400ms);
+    CHECK(!is_healthy(near, context_at(start + 400ms)));
+    for (const auto later : {500ms, 1500ms})
+    {
+        CHECK(choose_target({&near, &far}, context_at(start + later), random) ==
+              &far);
+    }
+    CHECK(
+        choose_target({&near, &far}, context_at(start + 30s), random) == &near);
+}
+
 // Guards against further requests to a target that has stopped replying.
 TEST_CASE("a stalled target is avoided until it replies", "[entry]")
 {
--- a/tests/test_entry_path.cpp
+++ b/tests/test_entry_path.cpp
@@ -507,6 +507,29 @@
     CHECK(busy.connections == 1);
 }
 
+// Guards against shards that are not sent through another zone although the
+// target of the own zone is known to shed.
+TEST_CASE("a shedding target does not count as the own zone's", "[entry]")
+{
+    entry_vm vm;
+    stand_in_target near(vm.loop, "ta", shed);
+    stand_in_target far(vm.loop, "tb",
+        [](const parsed_request& r) { return good(r, "pb", record('1')); });
+    vm.pool.put(near.record("s", "north"));
+    CHECK(vm.pool.reach_of("s").own_zone);
+    vm.pool.put(far.record("s", "far"));
+    vm.adopt(1, {entry_vm::make_route("q", {"s"}, true, true)});
+    test_caller caller(vm.loop, vm.caller_address());
+    for (int i = 0; i < 20; ++i)
+    {
+        caller.send(get("/q/1", "r" + std::to_string(i)));
+        CHECK(caller.reply().status == 200);
+    }
+    const shard_reach reach = vm.pool.reach_of("s");
+    CHECK(!reach.own_zone);
+    CHECK(reach.zones == std::vector<std::string>{"far"});
+}
+
 // Guards against a VM that stays ready while its zone is cut off, though VMs of
 // other zones could serve its callers, and against one that stays unready after
 // the targets are reachable again.
--- a/tests/test_gather_orders.cpp
+++ b/tests/test_gather_orders.cpp
@@ -27,7 +27,7 @@
               other.log, routes, other.random},
           server(context, {200ms, 400ms}), id_(id)
     {
-        pool.set_vms(1);
+        pool.set_vms({1, {}, 0.0});
         REQUIRE(server.listen("127.0.0.1:0", "127.0.0.1:0", "", "127.0.0.1:0"));
         desired_state state;
         state.version = 1;
@@ -128,15 +128,19 @@
     http_reply
     ask()
     {
-        test_caller caller(vm.loop, vm.caller_address());
-        caller.send(get("/q/1", "r1"));
-        return caller.reply();
+        // Kept until the end: the handlers of a caller's connection refer to
+        // it.
+        callers.push_back(
+            std::make_unique<test_caller>(vm.loop, vm.caller_address()));
+        callers.back()->send(get("/q/1", "r" + std::to_string(callers.size())));
+        return callers.back()->reply();
     }
 
     entry_vm vm;
     delegate_vm delegate;
     zone_targets south;
     zone_targets west;
+    std::vector<std::unique_ptr<test_caller>> callers;
 };
 
 std::uint64_t
@@ -299,6 +303,25 @@
     CHECK(z.west.received() == 1);
 }
 
+// Guards against shards that a delegate hands back again and again, because it
+// asks a target of its zone that it has seen shed.
+TEST_CASE("a delegate asks another zone for a shard that is shed", "[entry]")
+{
+    three_zones z;
+    z.vm.delegates.set_vms({z.delegate.registration()});
+    z.south.targets[1]->set_script([](const parsed_request&) -> scripted_reply
+        { return {http_text(503, "X-Not-Executed: 1\r\n", "")}; });
+    constexpr std::uint64_t asked = 20;
+    for (std::uint64_t i = 0; i < asked; ++i)
+    {
+        CHECK(proofs_of(z.ask()) ==
+              std::set<std::string>{"south0", "south2", "west1"});
+    }
+    // The first few teach the delegate.
+    CHECK(count(z.vm, counter::shards_handed_back) < asked / 2);
+    CHECK(z.south.targets[1]->received.size() < asked / 2);
+}
+
 // Guards against discarding a late reply: the hedge goes to a target that does
 // not reply, while the first target still replies in time for the caller.
 TEST_CASE("a late reply of a handed-back shard is collected", "[entry]")
