Answer requests that are queued behind another one at a stop

Cause: at a stop, the reply of the running request closed its connection, and requests that were already read behind it were dropped without an answer. Change: the connection closes after the last request that was queued. Two comments that named other terms than the code and an example that was wrong (gather.cpp) are corrected.

--- a/src/caller_connection.cpp
+++ b/src/caller_connection.cpp
@@ -155,7 +155,8 @@
         return;
     }
     on_disconnect_ = nullptr;
-    keep_alive_ = keep_alive_ && !keep_alive_disabled_;
+    // A request that is already queued behind this one is answered too.
+    keep_alive_ = keep_alive_ && (!keep_alive_disabled_ || !input_.empty());
     reply.keep_alive = keep_alive_;
     output_ = serialize(reply, bodiless_);
     written_ = 0;
--- a/src/caller_connection.hpp
+++ b/src/caller_connection.hpp
@@ -59,8 +59,8 @@
     void
     close_when_idle();
 
-    /// Ends keep-alive: the next reply carries `Connection: close`, and the
-    /// connection closes after it.
+    /// Ends keep-alive: the connection closes after the next reply, which
+    /// carries `Connection: close`, unless a request is already queued behind.
     void
     disable_keep_alive();
 
--- a/src/config.hpp
+++ b/src/config.hpp
@@ -506,7 +506,7 @@
 inline constexpr auto default_leave_bound = 3s;
 
 // Time that a caller has already spent is ignored below this share of the
-// route's longest wait; above it the request is taken for a repetition.
+// route's longest time left; above it the request is taken for a repetition.
 inline constexpr double min_spent_share = 0.03;
 
 // Rollouts of the entry path. The constants named `_at` are shares of the
@@ -520,7 +520,7 @@
 inline constexpr double rollout_bad_margin = 0.05; // errors and slow replies
 // Evidence that stops the ramp; `withdraw_evidence` withdraws the version.
 inline constexpr double rollout_suspicion_evidence = 3.0;
-inline constexpr double rollout_slow_multiple = 4.0; // of the usual latency
+inline constexpr double rollout_slow_multiple = 4.0; // of the expected one
 // Delay between the writes of VMs of successive ranks, so that usually only the
 // first one writes.
 inline constexpr auto rollout_write_stagger = 300ms;
--- a/src/gather.cpp
+++ b/src/gather.cpp
@@ -10,7 +10,7 @@
 namespace
 {
 
-// Absorbs rounding: 0.8 is not exact in binary, so 0.8 * 15 may exceed 12.
+// Absorbs rounding: in binary, 0.07 * 100 exceeds 7.
 constexpr double rounding_tolerance = 1e-9;
 
 bool
--- a/src/target_pool.cpp
+++ b/src/target_pool.cpp
@@ -145,6 +145,7 @@
                 {"zone", e.state.record.zone}, {"reason", reason},
                 {"pace", e.state.relative_latency},
                 {"error_rate", e.state.error_rate},
+                {"shed_rate", e.state.shed_rate},
                 {"measured_ms_ago", milliseconds(now - e.state.measured_at)},
                 {"failures", e.state.failures}});
     }
--- a/tests/test_entry_path.cpp
+++ b/tests/test_entry_path.cpp
@@ -397,6 +397,39 @@
     idle.run_until([&] { return ended; });
 }
 
+// Guards against requests that a stop cuts off although they were accepted
+// before or while it began: half read, queued behind another one, or on a new
+// connection.
+TEST_CASE("requests accepted around a stop are answered", "[entry]")
+{
+    entry_vm vm;
+    stand_in_target a(vm.loop, "ta",
+        [](const parsed_request& r)
+        {
+            scripted_reply out = good(r, "p", "done");
+            out.wait = 20ms;
+            return out;
+        });
+    vm.pool.put(a.record("s", "north"));
+    vm.adopt(1, {entry_vm::make_route("w", {"s"}, false, false)});
+    test_caller half(vm.loop, vm.caller_address());
+    const std::string request = get("/w/1", "r1");
+    half.send(request.substr(0, request.size() / 2));
+    test_caller queued(vm.loop, vm.caller_address());
+    queued.send(get("/w/1", "r2") + get("/w/1", "r3"));
+    queued.run_until([&] { return a.received.size() == 1; });
+    bool stopped = false;
+    vm.server.stop([&] { stopped = true; });
+    test_caller late(vm.loop, vm.caller_address());
+    late.send(get("/w/1", "r4"));
+    half.send(request.substr(request.size() / 2));
+    CHECK(queued.reply().status == 200);
+    CHECK(queued.reply().status == 200);
+    CHECK(half.reply().status == 200);
+    CHECK(late.reply().status == 200);
+    late.run_until([&] { return stopped; });
+}
+
 // Guards against a body that is altered or truncated in transit.
 TEST_CASE("bodies pass unchanged in both directions", "[entry]")
 {
