--- a/src/target_pool.cpp
+++ b/src/target_pool.cpp
@@ -1,7 +1,6 @@
 #include "target_pool.hpp"
 
 #include "config.hpp"
-#include "link_plan.hpp"
 #include "stream_socket.hpp"
 #include "target_pool_state.hpp"
 
@@ -323,55 +322,6 @@
     return out;
 }
 
-bool
-target_pool::wait_for_room(const std::string& service, monotonic_time stale_at,
-    std::function<bool()> ready)
-{
-    auto& waiters = service_of(service).waiters;
-    if (waiters.size() >= config::max_waiting_per_service)
-    {
-        return false;
-    }
-    waiters.push_back({stale_at, std::move(ready)});
-    return true;
-}
-
-void
-target_pool::wake_waiter(service_state& service)
-{
-    if (!service.waiters.empty() && !service.waking)
-    {
-        service.waking = true;
-        boost::asio::post(loop_,
-            [this, &service]
-            {
-                service.waking = false;
-                serve_waiter(service);
-            });
-    }
-}
-
-/// Serves the oldest request that can still meet its target latency; late ones
-/// only if there is no other. Requests that no longer need a target are
-/// removed; those that cannot use it, since their budget is spent, queue again.
-void
-target_pool::serve_waiter(service_state& service)
-{
-    const monotonic_time now = monotonic_clock::now();
-    bool used = false;
-    std::size_t offers =
-        std::min(service.waiters.size(), config::max_offers_per_room);
-    for (; !used && offers > 0; --offers)
-    {
-        auto next = std::find_if(service.waiters.begin(), service.waiters.end(),
-            [&](const waiter& w) { return now < w.stale_at; });
-        next = next == service.waiters.end() ? service.waiters.begin() : next;
-        const std::function<bool()> ready = std::move(next->ready);
-        service.waiters.erase(next);
-        used = ready();
-    }
-}
-
 bool
 target_pool::is_out_of_reach(const std::string& service) const
 {
@@ -434,32 +384,6 @@
         options_.extra_load, vms_.total, monotonic_clock::now());
 }
 
-void
-target_pool::plan_links_of(entry& e)
-{
-    const std::string& zone = e.state.record.zone;
-    const auto in_zone = vms_.by_zone.find(zone);
-    link_plan plan;
-    plan.connections = e.service->rule.max_connections;
-    plan.vms_in_zone = in_zone == vms_.by_zone.end() ? 0 : in_zone->second;
-    plan.vms_elsewhere = vms_.total - std::min(vms_.total, plan.vms_in_zone);
-    plan.same_zone = zone == options_.zone;
-    plan.position = std::fmod(vms_.zone_position + e.hash, 1.0);
-    const std::size_t links = planned_links(plan);
-    e.state.unplanned = links == 0;
-    e.max_links = std::max<std::size_t>(links, 1);
-}
-
-/// Marks the target as full if it has no idle connection and this VM has
-/// reached its part of the target's connections.
-void
-target_pool::refresh_room(entry& e)
-{
-    const bool idle = std::any_of(e.links.begin(), e.links.end(),
-        [](const auto& l) { return l->state() == link_state::idle; });
-    e.state.full = !idle && e.links.size() >= e.max_links;
-}
-
 std::shared_ptr<target_link>
 target_pool::open_link(
     entry& e, std::function<void(const std::shared_ptr<target_link>&)> opened)
--- /dev/null
+++ b/tests/test_entry_stop.cpp
@@ -0,0 +1,68 @@
+#include "entry_fixture.hpp"
+
+using namespace bramleymux;
+using namespace bramleymux::fixture;
+
+// Guards against a stop that drops a running request or leaves a connection
+// open.
+TEST_CASE("a stop answers running requests and then ends", "[entry]")
+{
+    entry_vm vm;
+    stand_in_target a(vm.loop, "ta",
+        [](const parsed_request& r)
+        {
+            scripted_reply out = good(r, "p", "done");
+            out.wait = 100ms;
+            return out;
+        });
+    vm.pool.put(a.record("s", "north"));
+    vm.adopt(1, {entry_vm::make_route("q", {"s"}, false, true)});
+    test_caller busy(vm.loop, vm.caller_address());
+    test_caller idle(vm.loop, vm.caller_address());
+    busy.send(get("/q/1", "r1"));
+    busy.run_until([&] { return a.received.size() == 1; });
+    bool ended = false;
+    vm.server.stop([&] { ended = true; });
+    test_caller prober(vm.loop, vm.server.addresses().at(1));
+    prober.send("GET /v1/ready HTTP/1.1\r\nHost: h\r\n\r\n");
+    CHECK(prober.reply().status == 503);
+    const http_reply reply = busy.reply();
+    CHECK(reply.body == "done");
+    CHECK(!reply.keep_alive);
+    idle.run_until([&] { return idle.closed; });
+    prober.close();
+    idle.run_until([&] { return ended; });
+}
+
+// Guards against requests that a stop cuts off although they were accepted
+// before or while it began: half read, queued behind another one, or on a new
+// connection.
+TEST_CASE("requests accepted around a stop are answered", "[entry]")
+{
+    entry_vm vm;
+    stand_in_target a(vm.loop, "ta",
+        [](const parsed_request& r)
+        {
+            scripted_reply out = good(r, "p", "done");
+            out.wait = 20ms;
+            return out;
+        });
+    vm.pool.put(a.record("s", "north"));
+    vm.adopt(1, {entry_vm::make_route("w", {"s"}, false, false)});
+    test_caller half(vm.loop, vm.caller_address());
+    const std::string request = get("/w/1", "r1");
+    half.send(request.substr(0, request.size() / 2));
+    test_caller queued(vm.loop, vm.caller_address());
+    queued.send(get("/w/1", "r2") + get("/w/1", "r3"));
+    queued.run_until([&] { return a.received.size() == 1; });
+    bool stopped = false;
+    vm.server.stop([&] { stopped = true; });
+    test_caller late(vm.loop, vm.caller_address());
+    late.send(get("/w/1", "r4"));
+    half.send(request.substr(request.size() / 2));
+    CHECK(queued.reply().status == 200);
+    CHECK(queued.reply().status == 200);
+    CHECK(half.reply().status == 200);
+    CHECK(late.reply().status == 200);
+    late.run_until([&] { return stopped; });
+}
