Offer room past requests that no longer need it

Change: only a request that queues again counts as an offer. Result: "room passes requests that no longer need it" failed before within its 30 s and passes; all [entry] tests pass.

--- a/src/config.hpp
+++ b/src/config.hpp
@@ -452,7 +452,7 @@
 
 // Sub-requests that wait until a target of the service has room.
 inline constexpr std::size_t max_waiting_per_service = 256;
-// Requests that are offered the room of one finished sub-request, in turn.
+// Requests that may turn down the room of one finished sub-request, in turn.
 inline constexpr std::size_t max_offers_per_room = 4;
 // A gathered query waits for room up to this share of the caller's time, or up
 // to its target latency if that is longer.
--- a/src/target_pool_room.cpp
+++ b/src/target_pool_room.cpp
@@ -74,16 +74,18 @@
 {
     const monotonic_time now = monotonic_clock::now();
     bool used = false;
-    std::size_t offers =
-        std::min(service.waiters.size(), config::max_offers_per_room);
-    for (; !used && offers > 0; --offers)
+    std::size_t offers = config::max_offers_per_room;
+    while (!used && offers > 0 && !service.waiters.empty())
     {
         auto next = std::find_if(service.waiters.begin(), service.waiters.end(),
             [&](const waiter& w) { return now < w.stale_at; });
         next = next == service.waiters.end() ? service.waiters.begin() : next;
         const std::function<bool()> ready = std::move(next->ready);
         service.waiters.erase(next);
+        const std::size_t others = service.waiters.size();
         used = ready();
+        // Only a request that queues again has turned the offer down.
+        offers -= service.waiters.size() > others ? 1 : 0;
     }
 }
 
--- a/tests/test_entry_path.cpp
+++ b/tests/test_entry_path.cpp
@@ -1,3 +1,4 @@
+#include "config.hpp"
 #include "entry_fixture.hpp"
 
 using namespace bramleymux;
@@ -441,6 +442,28 @@
     CHECK(a.received.size() == 6);
 }
 
+// Guards against room that is offered only to requests that no longer need it,
+// while one that does waits behind them.
+TEST_CASE("room passes requests that no longer need it", "[entry]")
+{
+    entry_vm vm;
+    stand_in_target a(vm.loop, "ta",
+        [](const parsed_request& r) { return good(r, "p", "done"); });
+    vm.pool.put(a.record("s", "north"));
+    vm.adopt(1, {entry_vm::make_route("w", {"s"}, false, true)});
+    const monotonic_time later = monotonic_clock::now() + 1h;
+    for (std::size_t i = 0; i <= config::max_offers_per_room; ++i)
+    {
+        REQUIRE(vm.pool.wait_for_room("s", later, [] { return false; }));
+    }
+    bool served = false;
+    REQUIRE(vm.pool.wait_for_room("s", later, [&] { return served = true; }));
+    test_caller caller(vm.loop, vm.caller_address());
+    caller.send(get("/w/1", "r1"));
+    CHECK(caller.reply().status == 200);
+    caller.run_until([&] { return served; });
+}
+
 // Guards against a gathered query that fails at its target latency because one
 // shard still waits for room, though its caller waits much longer.
 TEST_CASE("a query waits for room past its target latency", "[entry]")
