--- a/src/target_choice.cpp
+++ b/src/target_choice.cpp
@@ -115,6 +115,31 @@
     return context.now < target.cold_until && context.cold_rate > 0.0;
 }
 
+/// Cost without the surcharges of its place.
+double
+cost_of_state(const target_state& target, const choice_context& context)
+{
+    const double kept = decay_factor(target, context.now);
+    const double slots = std::max(target.record.slots, 1U);
+    const bool load_known =
+        context.now - target.load_at < config::load_cost_max_age;
+    const double waiting = load_known ? target.load.waiting : 0.0;
+    const auto running = static_cast<double>(target.running.size());
+    double cost = 1.0 + (target.relative_latency - 1.0) * kept;
+    cost *= 1.0 + (running + waiting) / slots;
+    cost *= 1.0 + config::error_cost_factor * target.error_rate * kept;
+    cost *= 1.0 + config::shed_cost_factor * target.shed_rate * kept;
+    if (is_stalled(target, context.now))
+    {
+        cost *= config::stalled_cost_factor;
+    }
+    if (context.now < target.cold_until)
+    {
+        cost *= config::cold_cost_factor;
+    }
+    return cost;
+}
+
 } // namespace
 
 void
@@ -249,36 +274,6 @@
     return !is_limited(target, context) || context.now >= target.cold_next;
 }
 
-namespace
-{
-
-/// Cost without the surcharges of its place.
-double
-cost_of_state(const target_state& target, const choice_context& context)
-{
-    const double kept = decay_factor(target, context.now);
-    const double slots = std::max(target.record.slots, 1U);
-    const bool load_known =
-        context.now - target.load_at < config::load_cost_max_age;
-    const double waiting = load_known ? target.load.waiting : 0.0;
-    const auto running = static_cast<double>(target.running.size());
-    double cost = 1.0 + (target.relative_latency - 1.0) * kept;
-    cost *= 1.0 + (running + waiting) / slots;
-    cost *= 1.0 + config::error_cost_factor * target.error_rate * kept;
-    cost *= 1.0 + config::shed_cost_factor * target.shed_rate * kept;
-    if (is_stalled(target, context.now))
-    {
-        cost *= config::stalled_cost_factor;
-    }
-    if (context.now < target.cold_until)
-    {
-        cost *= config::cold_cost_factor;
-    }
-    return cost;
-}
-
-} // namespace
-
 bool
 is_healthy(const target_state& target, const choice_context& context)
 {
--- a/src/target_pool.cpp
+++ b/src/target_pool.cpp
@@ -106,6 +106,7 @@
 target_pool::set_options(pool_options options)
 {
     options_ = std::move(options);
+    plan_all_links();
 }
 
 target_pool::service_state&
@@ -217,6 +218,7 @@
 {
     vms_ = std::move(vms);
     vms_.total = std::max<std::size_t>(vms_.total, 1);
+    plan_all_links();
 }
 
 void
@@ -226,20 +228,16 @@
     {
         service_of(rule.name).rule = rule;
     }
-    for (const auto& [id, e] : entries_)
-    {
-        plan_links_of(*e);
-    }
+    plan_all_links();
 }
 
 target_state*
-target_pool::choose(const std::string& service,
-    const std::vector<const target_state*>& tried, choice_scope scope)
+target_pool::choose(
+    const std::string& service, const std::vector<const target_state*>& tried)
 {
     service_state& s = service_of(service);
     choice_context context = context_of(&s);
     context.tried = &tried;
-    context.scope = scope;
     return s.rollout ? choose_version(s, context)
                      : choose_target(s.targets, context, random_);
 }
--- a/src/target_pool.hpp
+++ b/src/target_pool.hpp
@@ -123,8 +123,7 @@
     /// request now.
     target_state*
     choose(const std::string& service,
-        const std::vector<const target_state*>& tried,
-        choice_scope scope = choice_scope::any_zone);
+        const std::vector<const target_state*>& tried);
 
     /// Returns whether some target of the service outside `tried` can take a
     /// request, now or once it has capacity.
@@ -224,6 +223,8 @@
     void
     plan_links_of(entry& e);
     void
+    plan_all_links();
+    void
     refresh_room(entry& e);
     void
     wake_waiter(service_state& service);
--- a/src/target_pool_room.cpp
+++ b/src/target_pool_room.cpp
@@ -28,6 +28,15 @@
     e.max_links = std::max<std::size_t>(links, 1);
 }
 
+void
+target_pool::plan_all_links()
+{
+    for (const auto& [id, e] : entries_)
+    {
+        plan_links_of(*e);
+    }
+}
+
 /// Marks the target as full if it has no idle connection and this VM has
 /// reached its part of the target's connections.
 void
--- a/src/target_pool_upkeep.cpp
+++ b/src/target_pool_upkeep.cpp
@@ -141,7 +141,6 @@
             [](const auto& l) { return l->state() == link_state::closed; }),
         e.links.end());
     const bool was_full = e.state.full;
-    plan_links_of(e);
     refresh_room(e);
     if (was_full && !e.state.full)
     {
--- a/tests/entry_fixture.hpp
+++ b/tests/entry_fixture.hpp
@@ -64,6 +64,15 @@
         body)};
 }
 
+/// Never replies.
+inline scripted_reply
+unresponsive(const parsed_request&)
+{
+    scripted_reply out;
+    out.silent = true;
+    return out;
+}
+
 /// Target on a loopback port whose replies a function determines.
 class stand_in_target
 {
--- a/tests/test_entry_path.cpp
+++ b/tests/test_entry_path.cpp
@@ -258,10 +258,7 @@
 TEST_CASE("a shard whose target never replies is hedged at another", "[entry]")
 {
     entry_vm vm;
-    stand_in_target a(vm.loop, "ta",
-        [](const parsed_request&) -> scripted_reply {
-            return {"", false, false, true};
-        });
+    stand_in_target a(vm.loop, "ta", unresponsive);
     stand_in_target b(vm.loop, "tb",
         [](const parsed_request& r) { return good(r, "pb", record('3')); });
     vm.pool.put(a.record("s", "north"));
@@ -281,10 +278,7 @@
 TEST_CASE("a caller that disconnects ends its work at the target", "[entry]")
 {
     entry_vm vm;
-    stand_in_target a(vm.loop, "ta",
-        [](const parsed_request&) -> scripted_reply {
-            return {"", false, false, true};
-        });
+    stand_in_target a(vm.loop, "ta", unresponsive);
     vm.pool.put(a.record("s", "north"));
     vm.adopt(1, {entry_vm::make_route("q", {"s"}, false, true)});
     test_caller caller(vm.loop, vm.caller_address());
--- a/tests/test_gather_orders.cpp
+++ b/tests/test_gather_orders.cpp
@@ -287,13 +287,7 @@
 {
     three_zones z;
     z.vm.delegates.set_vms({z.delegate.registration()});
-    z.south.targets[1]->set_script(
-        [](const parsed_request&) -> scripted_reply
-        {
-            scripted_reply out;
-            out.silent = true;
-            return out;
-        });
+    z.south.targets[1]->set_script(unresponsive);
     const http_reply reply = z.ask();
     CHECK(reply.status == 200);
     CHECK(
@@ -335,13 +329,7 @@
             out.wait = 550ms;
             return out;
         });
-    z.west.targets[1]->set_script(
-        [](const parsed_request&) -> scripted_reply
-        {
-            scripted_reply out;
-            out.silent = true;
-            return out;
-        });
+    z.west.targets[1]->set_script(unresponsive);
     const http_reply reply = z.ask();
     CHECK(reply.status == 200);
     CHECK(proofs_of(reply) ==
@@ -377,13 +365,7 @@
     "a silent delegate is excluded and its shards queried directly", "[entry]")
 {
     three_zones z;
-    stand_in_target mute(z.vm.loop, "mute",
-        [](const parsed_request&) -> scripted_reply
-        {
-            scripted_reply out;
-            out.silent = true;
-            return out;
-        });
+    stand_in_target mute(z.vm.loop, "mute", unresponsive);
     z.vm.delegates.set_vms({{"vm-s", "south", mute.address()}});
     REQUIRE(z.vm.delegates.zones().size() == 1);
     const http_reply reply = z.ask();
@@ -414,13 +396,7 @@
     z.vm.delegates.set_vms({z.delegate.registration()});
     for (const auto& target : z.south.targets)
     {
-        target->set_script(
-            [](const parsed_request&) -> scripted_reply
-            {
-                scripted_reply out;
-                out.silent = true;
-                return out;
-            });
+        target->set_script(unresponsive);
     }
     test_caller caller(z.vm.loop, z.vm.caller_address());
     caller.send(get("/q/1", "r1"));
--- a/tests/test_target_trouble.cpp
+++ b/tests/test_target_trouble.cpp
@@ -41,10 +41,7 @@
 TEST_CASE("a health probe without a reply is repeated", "[entry]")
 {
     entry_vm vm;
-    stand_in_target a(vm.loop, "ta",
-        [](const parsed_request&) -> scripted_reply {
-            return {"", false, false, true};
-        });
+    stand_in_target a(vm.loop, "ta", unresponsive);
     vm.pool.put(a.record("s", "north"));
     vm.adopt(1, {entry_vm::make_route("q", {"s"}, false, true)});
     test_caller caller(vm.loop, vm.caller_address());
