Limit unfinished chunk sizes and trailers

Cause: the parser limits the header only. An unfinished chunk size or trailer line stayed in the input buffer, which grew until the abandoned send ended. Change: a message whose unfinished line is longer than the header limit is refused, for replies and for requests of callers.

--- a/src/http_codec.cpp
+++ b/src/http_codec.cpp
@@ -87,9 +87,11 @@
 }
 
 /// Parses `bytes` until the message is complete, and removes what was parsed.
+/// What is left of an incomplete message is an unfinished line of a header, a
+/// chunk size or a trailer; the parser limits only the header.
 template <class Parser>
 read_result
-feed(Parser& parser, std::string& bytes)
+feed(Parser& parser, std::string& bytes, const read_limits& limits)
 {
     std::size_t consumed = 0;
     read_result result = read_result::need_more;
@@ -112,7 +114,13 @@
         }
     }
     bytes.erase(0, consumed);
-    return parser.is_done() ? read_result::complete : result;
+    if (parser.is_done())
+    {
+        return read_result::complete;
+    }
+    const bool unfinished_line =
+        result == read_result::need_more && bytes.size() > limits.header_bytes;
+    return unfinished_line ? read_result::header_too_long : result;
 }
 
 /// Returns false for a transfer coding other than a single "chunked", with
@@ -195,7 +203,7 @@
         state_->received_any = false;
     }
     state_->received_any = state_->received_any || !bytes.empty();
-    const read_result result = feed(*state_->parser, bytes);
+    const read_result result = feed(*state_->parser, bytes, limits);
     if (state_->parser->is_header_done() &&
         !has_unambiguous_framing(state_->parser->get()))
     {
@@ -261,7 +269,7 @@
         state_->parser->skip(bodiless);
         state_->ended_by_close = false;
     }
-    read_result result = feed(*state_->parser, bytes);
+    read_result result = feed(*state_->parser, bytes, limits);
     const bool informational = result == read_result::complete &&
                                state_->parser->get().result_int() < 200;
     if (informational)
