Log connections that close with a request outstanding

Cause: no log line told that a connection was closed with bytes received and not handled, by which path, and under which version's limits it was opened, so the hypotheses on the lost request could not be told apart. Change: E1610 request_dropped and the counter requests_dropped, with the cause of the close, the bytes dropped and unsent, and the idle timeout; E1103 names the idle timeout of the version adopted.

--- a/include/bramleymux/stats.hpp
+++ b/include/bramleymux/stats.hpp
@@ -58,6 +58,7 @@
     gather_orders_refused, ///< received, but no target had room
     shards_handed_back,    ///< shards of sent orders without an answer
     delegates_lost,        ///< VMs of other zones that stopped answering
+    requests_dropped,      ///< connections closed with a request unanswered
     count
 };
 
@@ -75,7 +76,7 @@
     "log_lines_dropped", "desired_state_version", "desired_state_age_ms",
     "known_targets", "follows_store", "gather_orders_sent",
     "gather_orders_received", "gather_orders_refused", "shards_handed_back",
-    "delegates_lost"};
+    "delegates_lost", "requests_dropped"};
 
 /// Values of every counter at one moment.
 struct stats
--- a/src/caller_connection.cpp
+++ b/src/caller_connection.cpp
@@ -15,10 +15,9 @@
 using boost::system::error_code;
 
 caller_connection::caller_connection(tcp::socket&& socket,
-    const caller_limits& limits, request_handler handler,
-    input_fault_handler on_fault)
-    : socket_(std::move(socket)), limits_(limits), handler_(std::move(handler)),
-      on_fault_(std::move(on_fault)), phase_started_at_(monotonic_clock::now())
+    const caller_limits& limits, connection_handlers handlers)
+    : socket_(std::move(socket)), limits_(limits),
+      handlers_(std::move(handlers)), phase_started_at_(monotonic_clock::now())
 {
     set_stream_options(socket_);
 }
@@ -76,10 +75,14 @@
     const std::size_t n = socket_.read_some(asio::buffer(buffer), error);
     if (error && error != asio::error::would_block)
     {
-        close();
+        close(close_cause::caller_closed);
         return;
     }
-    if (phase_ != phase::draining)
+    if (phase_ == phase::draining)
+    {
+        end_.dropped_bytes += n;
+    }
+    else
     {
         input_.append(buffer.data(), n);
     }
@@ -121,10 +124,12 @@
     {
         parsed_request request = reader_.take();
         keep_alive_ = request.keep_alive;
+        end_.cause = keep_alive_ ? close_cause::keep_alive_ended
+                                 : close_cause::caller_asked;
         bodiless_ = request.method == "HEAD";
         continue_sent_ = false;
         enter(phase::handling);
-        handler_(std::move(request), shared_from_this());
+        handlers_.on_request(std::move(request), shared_from_this());
         return;
     }
     case read_result::header_too_long:
@@ -143,8 +148,9 @@
 {
     keep_alive_ = false;
     bodiless_ = false;
+    end_.cause = close_cause::input_refused;
     enter(phase::handling);
-    answer(on_fault_(fault));
+    answer(handlers_.on_fault(fault));
 }
 
 void
@@ -173,7 +179,7 @@
         error);
     if (error && error != asio::error::would_block)
     {
-        close();
+        close(close_cause::caller_closed);
         return;
     }
     if (written_ == output_.size())
@@ -195,9 +201,10 @@
 caller_connection::on_written()
 {
     output_.clear();
+    written_ = 0;
     if (!keep_alive_)
     {
-        begin_drain();
+        begin_drain(end_.cause);
         return;
     }
     enter(phase::reading);
@@ -221,10 +228,12 @@
 /// `config::close_drain_time`. Closing a socket with unread input resets the
 /// connection, which can lose the reply in flight.
 void
-caller_connection::begin_drain()
+caller_connection::begin_drain(close_cause cause)
 {
     error_code ignored;
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
+    end_.cause = cause;
+    end_.dropped_bytes += input_.size();
     input_.clear();
     enter(phase::draining);
     wait_readable();
@@ -236,7 +245,7 @@
     keep_alive_disabled_ = true;
     if (phase_ == phase::reading && !reader_.started())
     {
-        begin_drain();
+        begin_drain(close_cause::stopping);
     }
 }
 
@@ -256,7 +265,7 @@
         }
         else if (!receiving && age > limits_.idle_timeout)
         {
-            begin_drain();
+            begin_drain(close_cause::idle_timeout);
         }
         return;
     }
@@ -266,17 +275,31 @@
         phase_ == phase::writing && age > limits_.idle_timeout;
     if (drain_expired || write_stalled)
     {
-        close();
+        close(drain_expired ? end_.cause : close_cause::write_timeout);
     }
 }
 
 void
-caller_connection::close()
+caller_connection::report_end()
+{
+    error_code ignored;
+    end_.dropped_bytes += input_.size() + socket_.available(ignored);
+    end_.unsent_bytes = output_.size() - written_;
+    end_.handling = phase_ == phase::handling;
+    end_.idle_timeout = limits_.idle_timeout;
+    handlers_.on_end(end_);
+}
+
+/// `cause` does not apply to a connection that is draining already.
+void
+caller_connection::close(close_cause cause)
 {
     if (phase_ == phase::closed)
     {
         return;
     }
+    end_.cause = phase_ == phase::draining ? end_.cause : cause;
+    report_end();
     enter(phase::closed);
     error_code ignored;
     socket_.close(ignored);
--- a/src/caller_connection.hpp
+++ b/src/caller_connection.hpp
@@ -32,14 +32,50 @@
 /// Returns the reply to a request that could not be read.
 using input_fault_handler = std::function<http_reply(input_fault fault)>;
 
+/// Why a connection ended.
+enum class close_cause
+{
+    caller_closed,    ///< end of stream, or a reset
+    caller_asked,     ///< the request ended keep-alive
+    input_refused,    ///< after the reply to an input fault
+    keep_alive_ended, ///< by this VM, after a reply
+    idle_timeout,
+    stopping, ///< idle during a graceful stop
+    write_timeout,
+    count
+};
+
+inline constexpr name_table<close_cause> close_cause_names{"caller_closed",
+    "caller_asked", "input_refused", "keep_alive_ended", "idle_timeout",
+    "stopping", "write_timeout"};
+
+/// What a connection left undone when it ended.
+struct connection_end
+{
+    close_cause cause = close_cause::caller_closed;
+    std::size_t dropped_bytes =
+        0;                        ///< received, but neither parsed nor answered
+    std::size_t unsent_bytes = 0; ///< of a reply
+    bool handling = false;        ///< a request was in progress
+    duration idle_timeout{};      ///< that was in force for the connection
+};
+
+using end_handler = std::function<void(const connection_end&)>;
+
+struct connection_handlers
+{
+    request_handler on_request;
+    input_fault_handler on_fault;
+    end_handler on_end;
+};
+
 /// Serves one request at a time and buffers pipelined ones. Runs on the
 /// socket's event loop; pending operations keep the object alive.
 class caller_connection : public std::enable_shared_from_this<caller_connection>
 {
 public:
     caller_connection(boost::asio::ip::tcp::socket&& socket,
-        const caller_limits& limits, request_handler handler,
-        input_fault_handler on_fault);
+        const caller_limits& limits, connection_handlers handlers);
 
     void
     start();
@@ -106,14 +142,15 @@
     void
     refuse(input_fault fault);
     void
-    begin_drain();
+    begin_drain(close_cause cause);
+    void
+    close(close_cause cause);
     void
-    close();
+    report_end();
 
     boost::asio::ip::tcp::socket socket_;
     caller_limits limits_;
-    request_handler handler_;
-    input_fault_handler on_fault_;
+    connection_handlers handlers_;
     request_reader reader_;
     std::function<void()> on_disconnect_;
     std::string input_;
@@ -122,6 +159,7 @@
     phase phase_ = phase::reading;
     /// Reset also when the first bytes of a request arrive.
     monotonic_time phase_started_at_{};
+    connection_end end_;
     bool read_wait_pending_ = false;
     bool keep_alive_disabled_ = false;
     bool keep_alive_ = true;
--- a/src/decision_log.hpp
+++ b/src/decision_log.hpp
@@ -19,6 +19,13 @@
 namespace bramleymux
 {
 
+/// Returns a duration as a log field shows it.
+inline double
+to_milliseconds(duration d)
+{
+    return std::chrono::duration<double, std::milli>(d).count();
+}
+
 /// Never blocks. Lines above the rate limit of their event, and lines that do
 /// not fit the buffer while the descriptor is full, are dropped and counted.
 class decision_log
--- a/src/entry_query_log.cpp
+++ b/src/entry_query_log.cpp
@@ -6,17 +6,6 @@
 
 using nlohmann::ordered_json;
 
-namespace
-{
-
-double
-milliseconds(duration d)
-{
-    return std::chrono::duration<double, std::milli>(d).count();
-}
-
-} // namespace
-
 /// Skips whole answers in time without a hedge or retry, which are only
 /// counted.
 void
@@ -47,10 +36,10 @@
     context_.log.write(what,
         {{"request", message_.id}, {"route", route_.name},
             {"config_version", state_->version}, {"status", status},
-            {"reason", reason}, {"took_ms", milliseconds(now - started_)},
-            {"target_ms", milliseconds(route_.target_latency)},
-            {"spent_before_ms", milliseconds(spent_before_)},
-            {"give_up_ms", milliseconds(give_up_after_)},
+            {"reason", reason}, {"took_ms", to_milliseconds(now - started_)},
+            {"target_ms", to_milliseconds(route_.target_latency)},
+            {"spent_before_ms", to_milliseconds(spent_before_)},
+            {"give_up_ms", to_milliseconds(give_up_after_)},
             {"asked", shards_.size()}, {"answered", answered},
             {"hedges", hedges_}, {"retries", retries_}, {"missing", missing}});
 }
@@ -66,8 +55,8 @@
         context_.log.write(event::shards_handed_back,
             {{"request", message_.id}, {"zone", zone}, {"asked", asked},
                 {"services", shards},
-                {"elapsed_ms", milliseconds(now - started_)},
-                {"hedge_after_ms", milliseconds(hedge_delay())}});
+                {"elapsed_ms", to_milliseconds(now - started_)},
+                {"hedge_after_ms", to_milliseconds(hedge_delay())}});
     }
 }
 
@@ -93,10 +82,10 @@
             {"why", reason == send_reason::hedge
                         ? "slow"
                         : std::string(to_string(shard.reason))},
-            {"elapsed_ms", milliseconds(now - started_)},
-            {"hedge_after_ms", milliseconds(hedge_delay())},
+            {"elapsed_ms", to_milliseconds(now - started_)},
+            {"hedge_after_ms", to_milliseconds(hedge_delay())},
             {"pace", target.relative_latency},
-            {"pace_age_ms", milliseconds(now - target.measured_at)}});
+            {"pace_age_ms", to_milliseconds(now - target.measured_at)}});
 }
 
 } // namespace bramleymux
--- a/src/entry_server.cpp
+++ b/src/entry_server.cpp
@@ -49,6 +49,8 @@
         count
     };
 
+    static constexpr name_table<kind> kind_names{"callers", "local", "peers"};
+
     listener(asio::io_context& loop, kind k) : acceptor(loop), role(k) {}
 
     tcp::acceptor acceptor;
@@ -179,8 +181,15 @@
         limits = {};
         limits.max_body_bytes = config::max_order_bytes;
     }
-    auto connection = std::make_shared<caller_connection>(
-        std::move(socket), limits, std::move(handler), on_fault);
+    const auto on_end =
+        [this, role = from.role, version = state_ ? state_->version : 0](
+            const connection_end& end)
+    {
+        on_connection_end(
+            end, listener::kind_names[static_cast<std::size_t>(role)], version);
+    };
+    auto connection = std::make_shared<caller_connection>(std::move(socket),
+        limits, connection_handlers{std::move(handler), on_fault, on_end});
     if (stopping_)
     {
         connection->disable_keep_alive();
@@ -189,6 +198,34 @@
     connection->start();
 }
 
+void
+entry_server::on_connection_end(const connection_end& end,
+    std::string_view listener_name, std::uint64_t opened_version)
+{
+    const bool by_caller = end.cause == close_cause::caller_closed ||
+                           end.cause == close_cause::caller_asked ||
+                           end.cause == close_cause::input_refused;
+    const bool unanswered =
+        end.dropped_bytes > 0 || end.unsent_bytes > 0 || end.handling;
+    if (by_caller || !unanswered)
+    {
+        return;
+    }
+    context_.counters.add(counter::requests_dropped);
+    if (!context_.log.try_admit(event::request_dropped, monotonic_clock::now()))
+    {
+        return;
+    }
+    context_.log.write(event::request_dropped,
+        {{"listener", listener_name},
+            {"cause", close_cause_names[static_cast<std::size_t>(end.cause)]},
+            {"dropped_bytes", end.dropped_bytes},
+            {"unsent_bytes", end.unsent_bytes}, {"handling", end.handling},
+            {"idle_timeout_ms", to_milliseconds(end.idle_timeout)},
+            {"opened_version", opened_version},
+            {"config_version", state_ ? state_->version : 0}});
+}
+
 http_reply
 entry_server::local_reply(const std::string& path) const
 {
@@ -336,7 +373,9 @@
     {
         context_.log.write(
             what, {{"version", state->version}, {"former_version", current},
-                      {"routes", state->routes.size()}});
+                      {"routes", state->routes.size()},
+                      {"idle_timeout_ms",
+                          to_milliseconds(state->limits.idle_timeout)}});
     }
     if (newer)
     {
--- a/src/entry_server.hpp
+++ b/src/entry_server.hpp
@@ -16,6 +16,7 @@
 
 class caller_connection;
 class gather_job;
+struct connection_end;
 
 /// Times of a graceful stop, from its start. Idle connections stay open until
 /// `close_idle_after`; the process exits by `exit_after` even when busy.
@@ -106,6 +107,10 @@
     http_reply
     refuse(const caller_message& message, problem_code code, run_state run,
         std::string_view detail);
+    /// Logs a connection that this VM closed with a request unanswered.
+    void
+    on_connection_end(const connection_end& end, std::string_view listener_name,
+        std::uint64_t opened_version);
     void
     update_readiness();
 
--- a/src/log_events.cpp
+++ b/src/log_events.cpp
@@ -118,6 +118,9 @@
             "A delegate in another zone is unavailable and gets no orders."},
         {1311, level::info, "delegate_regained",
             "A delegate in another zone is available again and gets orders."},
+        {1610, level::warning, "request_dropped",
+            "This VM closed a connection with a request or part of an answer "
+            "outstanding."},
     }};
 
 spdlog::level::level_enum
--- a/src/log_events.hpp
+++ b/src/log_events.hpp
@@ -66,6 +66,7 @@
     shards_handed_back,
     delegate_lost,
     delegate_regained,
+    request_dropped,
     count
 };
 
--- /dev/null
+++ b/tests/test_caller_connection.cpp
@@ -0,0 +1,88 @@
+#include "caller_connection.hpp"
+#include "entry_fixture.hpp"
+
+using namespace bramleymux;
+using namespace bramleymux::fixture;
+
+namespace
+{
+
+constexpr std::string_view request_text = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+
+/// A connection of the server side with one caller, over loopback. Replies with
+/// `reply` at once, or holds the request if `hold`.
+struct connection_fixture
+{
+    explicit connection_fixture(duration idle_timeout)
+        : acceptor(loop, tcp::endpoint(tcp::v4(), 0)),
+          caller(loop,
+              "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()))
+    {
+        caller_limits limits;
+        limits.idle_timeout = idle_timeout;
+        connection = std::make_shared<caller_connection>(acceptor.accept(),
+            limits,
+            connection_handlers{[this](parsed_request&&,
+                                    const std::shared_ptr<caller_connection>& c)
+                {
+                    ++requests;
+                    if (!hold)
+                    {
+                        c->answer(http_reply(reply));
+                    }
+                },
+                [](input_fault) {
+                    return http_reply{400, {}, {}};
+                },
+                [this](const connection_end& end) { ends.push_back(end); }});
+        connection->start();
+    }
+
+    /// Applies the timeouts as if `later` had passed.
+    void
+    tick_after(duration later)
+    {
+        connection->tick(monotonic_clock::now() + later);
+    }
+
+    boost::asio::io_context loop{1};
+    tcp::acceptor acceptor;
+    test_caller caller;
+    std::shared_ptr<caller_connection> connection;
+    http_reply reply{200, {}, "done"};
+    bool hold = false;
+    std::size_t requests = 0;
+    std::vector<connection_end> ends;
+};
+
+} // namespace
+
+// Guards against a close that loses a request without a trace in the log.
+TEST_CASE("a connection reports input that it dropped", "[entry]")
+{
+    connection_fixture f(10s);
+    f.connection->disable_keep_alive();
+    f.caller.send(std::string(request_text));
+    CHECK(!f.caller.reply().keep_alive);
+    f.caller.send(std::string(request_text));
+    f.caller.close();
+    f.caller.run_until([&] { return !f.ends.empty(); });
+    CHECK(f.ends.front().cause == close_cause::keep_alive_ended);
+    CHECK(f.ends.front().dropped_bytes == request_text.size());
+    CHECK(f.requests == 1);
+}
+
+// Guards against an end with a request in progress that looks like an orderly
+// one.
+TEST_CASE("a connection reports an end with a request in progress", "[entry]")
+{
+    connection_fixture f(10s);
+    f.hold = true;
+    f.caller.send(std::string(request_text));
+    f.caller.run_until([&] { return f.requests == 1; });
+    f.caller.close();
+    f.caller.run_until([&] { return !f.ends.empty(); });
+    CHECK(f.ends.front().cause == close_cause::caller_closed);
+    CHECK(f.ends.front().handling);
+    CHECK(f.ends.front().dropped_bytes == 0);
+}
