Answer requests that arrive before an idle connection closes

Cause: an idle connection was closed at a stop and at the idle timeout by a timer that did not look at the socket. A request that had arrived, or was queued behind the reply just written, was read while the connection drained, and dropped; a new connection was closed at a stop before its first request could arrive. Reading a request that crosses the close also hid from the caller that it was not handled. Change: the connection reads what has arrived and serves it instead of closing. It closes for good otherwise, so that a later request is reset unread. At a stop the idle timeout is one second, also for connections that carried no request yet.

--- a/src/caller_connection.cpp
+++ b/src/caller_connection.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/buffer.hpp>
 
+#include <algorithm>
 #include <array>
 
 namespace bramleymux
@@ -62,13 +63,15 @@
             self->read_wait_pending_ = false;
             if (!wait_error && self->phase_ != phase::closed)
             {
-                self->on_readable();
+                self->receive();
+                self->wait_readable();
             }
         });
 }
 
+/// Reads what has arrived, and parses it unless a request is in progress.
 void
-caller_connection::on_readable()
+caller_connection::receive()
 {
     std::array<char, config::socket_read_buffer_bytes> buffer;
     error_code error;
@@ -90,7 +93,12 @@
     {
         parse();
     }
-    wait_readable();
+}
+
+bool
+caller_connection::is_idle() const
+{
+    return phase_ == phase::reading && !reader_.started() && input_.empty();
 }
 
 void
@@ -243,9 +251,19 @@
 caller_connection::close_when_idle()
 {
     keep_alive_disabled_ = true;
-    if (phase_ == phase::reading && !reader_.started())
+    closing_when_idle_ = true;
+}
+
+/// Closes the connection unless its caller has sent something meanwhile. A
+/// request that arrives later is not read: the reset tells its caller that it
+/// was not handled.
+void
+caller_connection::close_idle(close_cause cause)
+{
+    receive();
+    if (is_idle())
     {
-        begin_drain(close_cause::stopping);
+        close(cause);
     }
 }
 
@@ -256,6 +274,10 @@
     if (phase_ == phase::reading)
     {
         const bool receiving = reader_.started();
+        const auto idle_timeout = closing_when_idle_
+                                      ? std::min<duration>(limits_.idle_timeout,
+                                            config::stop_idle_timeout)
+                                      : limits_.idle_timeout;
         const bool header_late =
             receiving && !reader_.header_done() && age > limits_.header_timeout;
         const bool body_late = receiving && age > limits_.idle_timeout;
@@ -263,9 +285,10 @@
         {
             refuse(input_fault::too_slow);
         }
-        else if (!receiving && age > limits_.idle_timeout)
+        else if (is_idle() && age > idle_timeout)
         {
-            begin_drain(close_cause::idle_timeout);
+            close_idle(closing_when_idle_ ? close_cause::stopping
+                                          : close_cause::idle_timeout);
         }
         return;
     }
--- a/src/caller_connection.hpp
+++ b/src/caller_connection.hpp
@@ -90,8 +90,8 @@
     void
     set_on_disconnect(std::function<void()> on_disconnect);
 
-    /// Closes the connection after the reply to the request in progress, or at
-    /// once when idle.
+    /// Ends keep-alive, and shortens the idle timeout to
+    /// `config::stop_idle_timeout`.
     void
     close_when_idle();
 
@@ -132,9 +132,11 @@
     void
     wait_readable();
     void
-    on_readable();
+    receive();
     void
     parse();
+    bool
+    is_idle() const;
     void
     write();
     void
@@ -144,6 +146,8 @@
     void
     begin_drain(close_cause cause);
     void
+    close_idle(close_cause cause);
+    void
     close(close_cause cause);
     void
     report_end();
@@ -162,6 +166,7 @@
     connection_end end_;
     bool read_wait_pending_ = false;
     bool keep_alive_disabled_ = false;
+    bool closing_when_idle_ = false;
     bool keep_alive_ = true;
     bool bodiless_ = false;      ///< reply to a HEAD request
     bool continue_sent_ = false; ///< 100 Continue, for the current request
--- a/src/config.hpp
+++ b/src/config.hpp
@@ -384,6 +384,9 @@
 // Input buffered beyond the longest body, after which reading pauses.
 inline constexpr std::size_t max_pipelined_bytes = 64 * kib;
 inline constexpr auto close_drain_time = 1s;
+// Idle timeout during a graceful stop. Longer than a caller takes to send the
+// first request on a new connection.
+inline constexpr auto stop_idle_timeout = 1s;
 
 // Share of a target's accepted connections that all VMs may use together.
 inline constexpr double target_connection_share = 0.9;
--- a/src/entry_server.cpp
+++ b/src/entry_server.cpp
@@ -511,11 +511,11 @@
             it = connections_.erase(it);
             continue;
         }
-        connection->tick(now);
         if (closing)
         {
             connection->close_when_idle();
         }
+        connection->tick(now);
         busy = busy || connection->is_open();
         ++it;
     }
--- a/tests/test_caller_connection.cpp
+++ b/tests/test_caller_connection.cpp
@@ -26,6 +26,7 @@
                                     const std::shared_ptr<caller_connection>& c)
                 {
                     ++requests;
+                    before_reply();
                     if (!hold)
                     {
                         c->answer(http_reply(reply));
@@ -50,6 +51,7 @@
     test_caller caller;
     std::shared_ptr<caller_connection> connection;
     http_reply reply{200, {}, "done"};
+    std::function<void()> before_reply = [] {};
     bool hold = false;
     std::size_t requests = 0;
     std::vector<connection_end> ends;
@@ -86,3 +88,60 @@
     CHECK(f.ends.front().handling);
     CHECK(f.ends.front().dropped_bytes == 0);
 }
+
+TEST_CASE("a request in the receive buffer is answered, not dropped, by an "
+          "idle close",
+    "[entry]")
+{
+    connection_fixture f(1s);
+    SECTION("at the idle timeout") {}
+    SECTION("at a stop")
+    {
+        f.connection->close_when_idle();
+    }
+    f.caller.send(std::string(request_text));
+    f.tick_after(5s);
+    CHECK(f.caller.reply().body == "done");
+    CHECK(f.requests == 1);
+}
+
+TEST_CASE(
+    "a queued request is answered, not dropped, by an idle close", "[entry]")
+{
+    connection_fixture f(10s);
+    f.before_reply = [&]
+    {
+        // Runs after the first reply, before the queued request is parsed.
+        boost::asio::post(f.loop,
+            [&]
+            {
+                f.connection->close_when_idle();
+                f.tick_after(5s);
+            });
+    };
+    f.caller.send(std::string(request_text) + std::string(request_text));
+    CHECK(f.caller.reply().body == "done");
+    CHECK(f.caller.reply().body == "done");
+}
+
+TEST_CASE("a new connection is not closed by a stop before its first request",
+    "[entry]")
+{
+    connection_fixture f(10s);
+    f.connection->close_when_idle();
+    f.tick_after(0s);
+    f.caller.send(std::string(request_text));
+    CHECK(f.caller.reply().body == "done");
+    f.caller.run_until([&] { return f.caller.closed; });
+}
+
+TEST_CASE("a request that crosses an idle close is not read", "[entry]")
+{
+    connection_fixture f(1s);
+    f.tick_after(5s);
+    f.caller.send(std::string(request_text));
+    f.caller.run_until([&] { return f.caller.closed; });
+    f.caller.run_until([&] { return !f.ends.empty(); });
+    CHECK(f.ends.front().cause == close_cause::idle_timeout);
+    CHECK(f.ends.front().dropped_bytes == 0);
+}
