Apply a desired state's limits to open connections

What callers would see: after a desired state with a longer idle timeout, their kept connections still close after the old one, while they may reuse them for up to four fifths of the new one; a request that crosses the close gets no answer. Cause: a connection took its limits when it was accepted and never again. Evidence: by reading and by the tests. Change: a desired state sets the limits of the open connections of callers. An idle period in progress keeps the longer of both timeouts, because its caller may know either of them.

--- a/src/caller_connection.cpp
+++ b/src/caller_connection.cpp
@@ -18,7 +18,8 @@
 caller_connection::caller_connection(tcp::socket&& socket,
     const caller_limits& limits, connection_handlers handlers)
     : socket_(std::move(socket)), limits_(limits),
-      handlers_(std::move(handlers)), phase_started_at_(monotonic_clock::now())
+      idle_timeout_(limits.idle_timeout), handlers_(std::move(handlers)),
+      phase_started_at_(monotonic_clock::now())
 {
     set_stream_options(socket_);
 }
@@ -36,6 +37,13 @@
     phase_started_at_ = monotonic_clock::now();
 }
 
+void
+caller_connection::set_limits(const caller_limits& limits)
+{
+    limits_ = limits;
+    idle_timeout_ = std::max(idle_timeout_, limits.idle_timeout);
+}
+
 void
 caller_connection::set_on_disconnect(std::function<void()> on_disconnect)
 {
@@ -215,6 +223,7 @@
         begin_drain(end_.cause);
         return;
     }
+    idle_timeout_ = limits_.idle_timeout;
     enter(phase::reading);
     if (!input_.empty())
     {
@@ -274,10 +283,10 @@
     if (phase_ == phase::reading)
     {
         const bool receiving = reader_.started();
-        const auto idle_timeout = closing_when_idle_
-                                      ? std::min<duration>(limits_.idle_timeout,
-                                            config::stop_idle_timeout)
-                                      : limits_.idle_timeout;
+        const auto idle_timeout =
+            closing_when_idle_
+                ? std::min<duration>(idle_timeout_, config::stop_idle_timeout)
+                : idle_timeout_;
         const bool header_late =
             receiving && !reader_.header_done() && age > limits_.header_timeout;
         const bool body_late = receiving && age > limits_.idle_timeout;
@@ -309,7 +318,7 @@
     end_.dropped_bytes += input_.size() + socket_.available(ignored);
     end_.unsent_bytes = output_.size() - written_;
     end_.handling = phase_ == phase::handling;
-    end_.idle_timeout = limits_.idle_timeout;
+    end_.idle_timeout = idle_timeout_;
     handlers_.on_end(end_);
 }
 
--- a/src/caller_connection.hpp
+++ b/src/caller_connection.hpp
@@ -80,6 +80,11 @@
     void
     start();
 
+    /// Sets the limits of further requests. The idle period in progress keeps
+    /// its timeout if that is longer, since the caller may rely on it.
+    void
+    set_limits(const caller_limits& limits);
+
     /// Sends the reply to the request in progress. Does nothing when no request
     /// is in progress.
     void
@@ -154,6 +159,7 @@
 
     boost::asio::ip::tcp::socket socket_;
     caller_limits limits_;
+    duration idle_timeout_; ///< of the idle period in progress, or the next
     connection_handlers handlers_;
     request_reader reader_;
     std::function<void()> on_disconnect_;
--- a/src/entry_server.cpp
+++ b/src/entry_server.cpp
@@ -57,6 +57,13 @@
     kind role;
 };
 
+struct entry_server::open_connection
+{
+    std::shared_ptr<caller_connection> connection;
+    /// The limits of a desired state apply to it; other VMs have their own.
+    bool limited_by_state = true;
+};
+
 entry_server::entry_server(entry_context& context, stop_times times)
     : context_(context), times_(times)
 {
@@ -176,7 +183,8 @@
             run_state::not_run, "the request could not be read");
     };
     caller_limits limits = state_ ? state_->limits : caller_limits{};
-    if (from.role == listener::kind::peers)
+    const bool limited_by_state = from.role != listener::kind::peers;
+    if (!limited_by_state)
     {
         limits = {};
         limits.max_body_bytes = config::max_order_bytes;
@@ -194,7 +202,7 @@
     {
         connection->disable_keep_alive();
     }
-    connections_.push_back(connection);
+    connections_.push_back({connection, limited_by_state});
     connection->start();
 }
 
@@ -380,6 +388,13 @@
     if (newer)
     {
         state_ = std::move(state);
+        for (const open_connection& open : connections_)
+        {
+            if (open.limited_by_state)
+            {
+                open.connection->set_limits(state_->limits);
+            }
+        }
         context_.pool.set_services(state_->services);
         context_.counters.set(counter::desired_state_version, state_->version);
     }
@@ -484,9 +499,9 @@
     stop_started_at_ = monotonic_clock::now();
     on_stopped_ = std::move(done);
     update_readiness();
-    for (const auto& connection : connections_)
+    for (const open_connection& open : connections_)
     {
-        connection->disable_keep_alive();
+        open.connection->disable_keep_alive();
     }
 }
 
@@ -505,7 +520,7 @@
     bool busy = false;
     for (auto it = connections_.begin(); it != connections_.end();)
     {
-        const auto connection = *it;
+        const auto connection = it->connection;
         if (!connection->is_open())
         {
             it = connections_.erase(it);
--- a/src/entry_server.hpp
+++ b/src/entry_server.hpp
@@ -80,6 +80,7 @@
 private:
     friend class caller_connection;
     struct listener;
+    struct open_connection;
 
     void
     accept(listener& from);
@@ -118,7 +119,7 @@
     stop_times times_;
     std::shared_ptr<const desired_state> state_;
     std::vector<std::unique_ptr<listener>> listeners_;
-    std::list<std::shared_ptr<caller_connection>> connections_;
+    std::list<open_connection> connections_;
     /// Orders in progress, by id.
     std::unordered_map<std::uint64_t, std::shared_ptr<gather_job>> jobs_;
     bool synced_ = false;
--- a/tests/entry_fixture.hpp
+++ b/tests/entry_fixture.hpp
@@ -373,11 +373,13 @@
 
     /// Adopts a desired state and makes the VM ready.
     void
-    adopt(std::uint64_t version, std::vector<route_rule> rules)
+    adopt(std::uint64_t version, std::vector<route_rule> rules,
+        const caller_limits& limits = {})
     {
         desired_state state;
         state.version = version;
         state.routes = std::move(rules);
+        state.limits = limits;
         server.adopt(std::make_shared<const desired_state>(std::move(state)));
         server.set_synced(true);
     }
--- a/tests/test_caller_connection.cpp
+++ b/tests/test_caller_connection.cpp
@@ -39,6 +39,14 @@
         connection->start();
     }
 
+    void
+    set_idle_timeout(duration idle_timeout)
+    {
+        caller_limits limits;
+        limits.idle_timeout = idle_timeout;
+        connection->set_limits(limits);
+    }
+
     /// Applies the timeouts as if `later` had passed.
     void
     tick_after(duration later)
@@ -145,3 +153,45 @@
     CHECK(f.ends.front().cause == close_cause::idle_timeout);
     CHECK(f.ends.front().dropped_bytes == 0);
 }
+
+TEST_CASE("a longer idle timeout applies to a connection that is open already",
+    "[entry]")
+{
+    connection_fixture f(1s);
+    f.set_idle_timeout(10s);
+    f.tick_after(5s);
+    f.caller.send(std::string(request_text));
+    CHECK(f.caller.reply().body == "done");
+    f.tick_after(5s);
+    CHECK(f.connection->is_open());
+}
+
+TEST_CASE("a shorter idle timeout does not cut the idle period that it meets",
+    "[entry]")
+{
+    connection_fixture f(10s);
+    f.set_idle_timeout(1s);
+    f.tick_after(5s);
+    f.caller.send(std::string(request_text));
+    CHECK(f.caller.reply().body == "done");
+    f.tick_after(5s);
+    CHECK(!f.connection->is_open());
+}
+
+TEST_CASE("a desired state with a longer idle timeout keeps connections open",
+    "[entry]")
+{
+    entry_vm vm;
+    caller_limits limits;
+    limits.idle_timeout = 50ms;
+    vm.adopt(1, {}, limits);
+    test_caller caller(vm.loop, vm.caller_address());
+    caller.send(get("/unknown/1", "r1"));
+    CHECK(caller.reply().keep_alive);
+    limits.idle_timeout = 60s;
+    vm.adopt(2, {}, limits);
+    const auto end = monotonic_clock::now() + 200ms;
+    caller.run_until([&] { return monotonic_clock::now() > end; });
+    caller.send(get("/unknown/1", "r2"));
+    CHECK(caller.reply().keep_alive);
+}
