Accept waiting connections before a stop ends

What callers would see: at the end of a graceful stop, a connection that the kernel had accepted, with a request already sent on it, is reset. Cause: a stop ended when no accepted connection was open; connections in the listen backlog were not looked at. Evidence: the new test ends the stop with a request in the backlog and failed before the change. Change: before a stop ends, the waiting connections are accepted; the stop goes on while there were any.

--- a/src/entry_server.cpp
+++ b/src/entry_server.cpp
@@ -144,6 +144,28 @@
         });
 }
 
+bool
+entry_server::accept_waiting()
+{
+    bool any = false;
+    for (const auto& l : listeners_)
+    {
+        error_code error;
+        l->acceptor.non_blocking(true, error);
+        while (true)
+        {
+            tcp::socket socket = l->acceptor.accept(error);
+            if (error)
+            {
+                break;
+            }
+            any = true;
+            on_accept(*l, std::move(socket));
+        }
+    }
+    return any;
+}
+
 void
 entry_server::on_accept(listener& from, tcp::socket&& socket)
 {
@@ -538,7 +560,9 @@
     {
         return;
     }
-    if (!busy || now - stop_started_at_ > times_.exit_after)
+    // The exit of the process resets the connections in the listen backlog.
+    const bool idle = !busy && !accept_waiting();
+    if (idle || now - stop_started_at_ > times_.exit_after)
     {
         const auto done = std::move(on_stopped_);
         on_stopped_ = nullptr;
--- a/src/entry_server.hpp
+++ b/src/entry_server.hpp
@@ -86,6 +86,10 @@
     accept(listener& from);
     void
     on_accept(listener& from, boost::asio::ip::tcp::socket&& socket);
+    /// Accepts the connections in the listen backlogs. Returns whether there
+    /// were any.
+    bool
+    accept_waiting();
     bool
     is_ready() const;
     bool
--- a/tests/entry_fixture.hpp
+++ b/tests/entry_fixture.hpp
@@ -306,7 +306,7 @@
 /// Entry VM "vm-1" in zone "north", built of the production components.
 struct entry_vm
 {
-    entry_vm()
+    explicit entry_vm(stop_times times = {200ms, 400ms})
         : null_device(::open("/dev/null", O_WRONLY)), log("vm-1", null_device),
           random(1), pool(loop, platform::wire(), counters, log,
                          {"north", {0.2, 100.0, 10s}, 3s}),
@@ -315,7 +315,7 @@
                                                                platform::wire(),
                                                                counters, log,
                                                                routes, random},
-          server(context, {200ms, 400ms})
+          server(context, times)
     {
         pool.set_vms({1, {}, 0.0});
         REQUIRE(server.listen("127.0.0.1:0", "127.0.0.1:0", "", "127.0.0.1:0"));
--- a/tests/test_entry_stop.cpp
+++ b/tests/test_entry_stop.cpp
@@ -1,5 +1,7 @@
 #include "entry_fixture.hpp"
 
+#include <thread>
+
 using namespace bramleymux;
 using namespace bramleymux::fixture;
 
@@ -66,3 +68,22 @@
     CHECK(late.reply().status == 200);
     late.run_until([&] { return stopped; });
 }
+
+TEST_CASE("a request in the listen backlog is not reset by the end of a stop",
+    "[entry]")
+{
+    entry_vm vm({50ms, 30s});
+    stand_in_target a(vm.loop, "ta",
+        [](const parsed_request& r) { return good(r, "p", "done"); });
+    vm.pool.put(a.record("s", "north"));
+    vm.adopt(1, {entry_vm::make_route("q", {"s"}, false, true)});
+    bool stopped = false;
+    vm.server.stop([&] { stopped = true; });
+    std::this_thread::sleep_for(100ms);
+    test_caller late(vm.loop, vm.caller_address());
+    late.send(get("/q/1", "r1"));
+    vm.server.tick();
+    CHECK(!stopped);
+    CHECK(late.reply().body == "done");
+    late.run_until([&] { return stopped; });
+}
