Give slow readers the rest of their answers

What callers would see: an answer that is read slowly is cut when the idle timeout has passed since its first byte; a desired state with a short idle timeout makes that likelier. Cause: the idle timeout was also the timeout of a write, from its start. Evidence: the new test with a slow reader failed before the change. Change: a write ends when its caller has read nothing for 10 s. Result: the test passes, and a second one shows that a caller that reads nothing still loses its connection.

--- a/src/caller_connection.cpp
+++ b/src/caller_connection.cpp
@@ -189,7 +189,7 @@
 caller_connection::write()
 {
     error_code error;
-    written_ += socket_.write_some(
+    const std::size_t n = socket_.write_some(
         asio::buffer(output_.data() + written_, output_.size() - written_),
         error);
     if (error && error != asio::error::would_block)
@@ -197,6 +197,11 @@
         close(close_cause::caller_closed);
         return;
     }
+    if (n > 0)
+    {
+        written_ += n;
+        phase_started_at_ = monotonic_clock::now();
+    }
     if (written_ == output_.size())
     {
         on_written();
@@ -303,7 +308,7 @@
     const bool drain_expired =
         phase_ == phase::draining && age > config::close_drain_time;
     const bool write_stalled =
-        phase_ == phase::writing && age > limits_.idle_timeout;
+        phase_ == phase::writing && age > config::write_stall_timeout;
     if (drain_expired || write_stalled)
     {
         close(drain_expired ? end_.cause : close_cause::write_timeout);
--- a/src/caller_connection.hpp
+++ b/src/caller_connection.hpp
@@ -169,7 +169,8 @@
     std::string output_;
     std::size_t written_ = 0;
     phase phase_ = phase::reading;
-    /// Reset also when the first bytes of a request arrive.
+    /// Reset also when the first bytes of a request arrive, and when bytes of a
+    /// reply are sent.
     monotonic_time phase_started_at_{};
     connection_end end_;
     bool read_wait_pending_ = false;
--- a/src/config.hpp
+++ b/src/config.hpp
@@ -384,6 +384,8 @@
 // Input buffered beyond the longest body, after which reading pauses.
 inline constexpr std::size_t max_pipelined_bytes = 64 * kib;
 inline constexpr auto close_drain_time = 1s;
+// A caller that reads nothing of its answer for this time loses the rest.
+inline constexpr auto write_stall_timeout = 10s;
 // Idle timeout during a graceful stop. Longer than a caller takes to send the
 // first request on a new connection.
 inline constexpr auto stop_idle_timeout = 1s;
--- a/tests/test_caller_connection.cpp
+++ b/tests/test_caller_connection.cpp
@@ -178,6 +178,30 @@
     CHECK(!f.connection->is_open());
 }
 
+TEST_CASE("a slow reader gets the rest of its answer past the idle timeout",
+    "[entry]")
+{
+    connection_fixture f(1s);
+    f.reply.body.assign(16 * config::mib, 'x');
+    f.before_reply = [&]
+    { boost::asio::post(f.loop, [&] { f.tick_after(5s); }); };
+    f.caller.send(std::string(request_text));
+    CHECK(f.caller.reply().body == f.reply.body);
+}
+
+TEST_CASE(
+    "a caller that reads nothing does not hold its answer for good", "[entry]")
+{
+    connection_fixture f(1s);
+    f.reply.body.assign(16 * config::mib, 'x');
+    f.before_reply = [&]
+    { boost::asio::post(f.loop, [&] { f.tick_after(11s); }); };
+    f.caller.send(std::string(request_text));
+    f.caller.run_until([&] { return !f.ends.empty(); });
+    CHECK(f.ends.front().cause == close_cause::write_timeout);
+    CHECK(f.ends.front().unsent_bytes > 0);
+}
+
 TEST_CASE("a desired state with a longer idle timeout keeps connections open",
     "[entry]")
 {
