Finish an answer after the caller closes its sending side

What callers would see: a caller that shuts down its sending side while its answer arrives loses the rest. Cause: the end of the input closed the connection in every phase. Evidence: the new test failed before the change. Change: the end of the input while an answer is written closes the connection after the answer. A caller that has closed both sides ends it by a reset, as before; while a request is handled, the end of the input still cancels it. Result: the test passes; [entry] passes (91 cases).

--- a/src/caller_connection.cpp
+++ b/src/caller_connection.cpp
@@ -59,7 +59,7 @@
 void
 caller_connection::wait_readable()
 {
-    if (read_wait_pending_ || phase_ == phase::closed ||
+    if (read_wait_pending_ || input_ended_ || phase_ == phase::closed ||
         input_.size() > config::max_pipelined_bytes + limits_.max_body_bytes)
     {
         return;
@@ -83,6 +83,12 @@
     std::array<char, config::socket_read_buffer_bytes> buffer;
     error_code error;
     const std::size_t n = socket_.read_some(asio::buffer(buffer), error);
+    if (error == asio::error::eof && phase_ == phase::writing)
+    {
+        // A caller that closed only its sending side still reads its answer.
+        input_ended_ = true;
+        return;
+    }
     if (error && error != asio::error::would_block)
     {
         close(close_cause::caller_closed);
@@ -222,6 +228,11 @@
 {
     output_.clear();
     written_ = 0;
+    if (input_ended_)
+    {
+        close(close_cause::caller_closed);
+        return;
+    }
     if (!keep_alive_)
     {
         begin_drain(end_.cause);
--- a/src/caller_connection.hpp
+++ b/src/caller_connection.hpp
@@ -174,6 +174,7 @@
     monotonic_time phase_started_at_{};
     connection_end end_;
     bool read_wait_pending_ = false;
+    bool input_ended_ = false; ///< the caller closed its sending side
     bool keep_alive_disabled_ = false;
     bool closing_when_idle_ = false;
     bool keep_alive_ = true;
--- a/tests/test_caller_connection.cpp
+++ b/tests/test_caller_connection.cpp
@@ -202,6 +202,18 @@
     CHECK(f.ends.front().unsent_bytes > 0);
 }
 
+TEST_CASE("a caller that closed its sending side gets the rest of its answer",
+    "[entry]")
+{
+    connection_fixture f(10s);
+    f.reply.body.assign(16 * config::mib, 'x');
+    f.before_reply = [&]
+    { boost::asio::post(f.loop, [&] { f.caller.close_sending(); }); };
+    f.caller.send(std::string(request_text));
+    CHECK(f.caller.reply().body == f.reply.body);
+    f.caller.run_until([&] { return !f.connection->is_open(); });
+}
+
 TEST_CASE("a desired state with a longer idle timeout keeps connections open",
     "[entry]")
 {
