Find a relay by its id when its poll is due

What callers would see: the process crashes when the list of VMs changes, and every connection of its callers ends without an answer. Cause: the timer of a relay's next poll kept a reference to the relay. A list of VMs that arrives while the expired timer's handler is queued destroys the relay; the handler then used freed memory. Change: the handler holds the relay's id and does nothing if it is gone.

--- a/src/change_hub.cpp
+++ b/src/change_hub.cpp
@@ -34,11 +34,13 @@
 /// A relay that this VM polls.
 struct change_hub::relay
 {
-    relay(boost::asio::io_context& loop, const std::string& address)
-        : channel(loop, address), timer(loop)
+    relay(boost::asio::io_context& loop, const std::string& address,
+        std::uint64_t relay_id)
+        : id(relay_id), channel(loop, address), timer(loop)
     {
     }
 
+    std::uint64_t id; ///< not used again
     call_channel channel;
     boost::asio::steady_timer timer;
     std::uint64_t epoch = 0;
@@ -130,9 +132,9 @@
                 [&](const auto& r)
                 { return r && r->channel.address() == address; });
             const bool known = found != relays_.end();
-            next_relays.push_back(
-                known ? std::move(*found)
-                      : std::make_unique<relay>(loop_, address));
+            next_relays.push_back(known ? std::move(*found)
+                                        : std::make_unique<relay>(loop_,
+                                              address, ++last_relay_id_));
             if (!known)
             {
                 poll(*next_relays.back());
@@ -185,12 +187,15 @@
     }
     r.timer.expires_after(
         delta ? duration::zero() : duration(config::relay_retry_delay));
+    // `set_vms` may destroy the relay while this handler is queued.
     r.timer.async_wait(
-        [this, &r](boost::system::error_code error)
+        [this, id = r.id](boost::system::error_code error)
         {
-            if (!error)
+            const auto found = std::find_if(relays_.begin(), relays_.end(),
+                [&](const auto& candidate) { return candidate->id == id; });
+            if (!error && found != relays_.end())
             {
-                poll(r);
+                poll(**found);
             }
         });
 }
--- a/src/change_hub.hpp
+++ b/src/change_hub.hpp
@@ -128,6 +128,7 @@
     relay_plan plan_;
     std::set<std::string> unlisted_kinds_;
     std::vector<std::unique_ptr<relay>> relays_;
+    std::uint64_t last_relay_id_ = 0;
     std::list<pending_poll> pending_polls_;
     monotonic_time last_store_reply_at_{};
     monotonic_time last_update_at_{};
--- a/tests/test_change_hub.cpp
+++ b/tests/test_change_hub.cpp
@@ -323,3 +323,67 @@
     relays[2]->hub.stop();
     run_until([&] { return follower.follows; });
 }
+
+TEST_CASE("a relay that is dropped while its poll is due is not used again",
+    "[entry]")
+{
+    entry_vm parts;
+    std::size_t polls = 0;
+    stand_in_target relay_server(parts.loop, "r0",
+        [&](const parsed_request&)
+        {
+            ++polls;
+            change_view view;
+            view.epoch = 7;
+            apply(view, {"servers", "a", polls, false, "x"},
+                monotonic_clock::now());
+            return scripted_reply{
+                http_text(200, "", encode_delta(delta_since(view, 0, 0)))};
+        });
+    std::vector<registered_vm> vms;
+    for (int i = 0; i < 3; ++i)
+    {
+        // Only the first one answers.
+        vms.push_back({"r" + std::to_string(i), "north",
+            i == 0 ? relay_server.address()
+                   : "127.0.0.1:" + std::to_string(i + 1)});
+    }
+    std::string id;
+    for (int i = 0; id.empty(); ++i)
+    {
+        const std::string candidate = "f" + std::to_string(i);
+        std::vector<registered_vm> all = vms;
+        all.push_back({candidate, "north", "127.0.0.1:9"});
+        if (!plan_relays(all, candidate, "north").is_relay)
+        {
+            id = candidate;
+        }
+    }
+    vms.push_back({id, "north", "127.0.0.1:9"});
+    boost::asio::steady_timer registry(parts.loop);
+    bool dropped = false;
+    change_hub* hub_pointer = nullptr;
+    change_hub hub(parts.loop, parts.counters, parts.log, id, "north",
+        {"servers"},
+        {[&](const store_change&)
+            {
+                // Stands for a list of the registered VMs that arrives together
+                // with the relay's reply.
+                registry.expires_after(duration::zero());
+                registry.async_wait(
+                    [&](boost::system::error_code)
+                    {
+                        hub_pointer->set_vms({});
+                        dropped = true;
+                    });
+            },
+            [](bool) {}});
+    hub_pointer = &hub;
+    hub.set_vms(vms);
+    test_caller runner(parts.loop, parts.caller_address());
+    runner.run_until([&] { return dropped; });
+    const std::size_t polls_before = polls;
+    const auto end = monotonic_clock::now() + 200ms;
+    runner.run_until([&] { return monotonic_clock::now() > end; });
+    CHECK(polls == polls_before);
+}
