Read what has arrived before a timeout or a last reply

What callers would see: a request that had arrived whole is refused as too slow (408) by a VM that is behind; a request that waits behind the last reply of a connection is dropped; a request that is being received is refused when a desired state shortens the limits. At a stop, idle connections close early, and a request that crosses the close ends without an answer. Change: a connection reads what has arrived before a timeout acts and before it ends keep-alive. New limits start with the next request.

--- a/src/caller_connection.cpp
+++ b/src/caller_connection.cpp
@@ -17,7 +17,7 @@
 
 caller_connection::caller_connection(tcp::socket&& socket,
     const caller_limits& limits, connection_handlers handlers)
-    : socket_(std::move(socket)), limits_(limits),
+    : socket_(std::move(socket)), limits_(limits), next_limits_(limits),
       idle_timeout_(limits.idle_timeout), handlers_(std::move(handlers)),
       phase_started_at_(monotonic_clock::now())
 {
@@ -40,7 +40,7 @@
 void
 caller_connection::set_limits(const caller_limits& limits)
 {
-    limits_ = limits;
+    next_limits_ = limits;
     idle_timeout_ = std::max(idle_timeout_, limits.idle_timeout);
 }
 
@@ -123,6 +123,7 @@
     }
     if (!reader_.started())
     {
+        limits_ = next_limits_;
         phase_started_at_ = monotonic_clock::now();
     }
     const read_result result = reader_.read(
@@ -182,7 +183,15 @@
         return;
     }
     on_disconnect_ = nullptr;
-    // A request that is already queued behind this one is answered too.
+    // A request that has arrived behind this one is answered too.
+    if (keep_alive_disabled_)
+    {
+        receive();
+    }
+    if (phase_ != phase::handling)
+    {
+        return;
+    }
     keep_alive_ = keep_alive_ && (!keep_alive_disabled_ || !input_.empty());
     reply.keep_alive = keep_alive_;
     output_ = serialize(reply, bodiless_);
@@ -238,7 +247,7 @@
         begin_drain(end_.cause);
         return;
     }
-    idle_timeout_ = limits_.idle_timeout;
+    idle_timeout_ = next_limits_.idle_timeout;
     enter(phase::reading);
     if (!input_.empty())
     {
@@ -272,57 +281,56 @@
 }
 
 void
-caller_connection::close_when_idle()
+caller_connection::close_when_idle(duration idle_timeout)
 {
     keep_alive_disabled_ = true;
-    closing_when_idle_ = true;
+    stop_idle_timeout_ = idle_timeout;
 }
 
-/// Closes the connection unless its caller has sent something meanwhile. A
-/// request that arrives later is not read: the reset tells its caller that it
-/// was not handled.
-void
-caller_connection::close_idle(close_cause cause)
+bool
+caller_connection::is_receiving_late(monotonic_time now) const
 {
-    receive();
-    if (is_idle())
-    {
-        close(cause);
-    }
+    const duration age = now - phase_started_at_;
+    const bool header_late =
+        !reader_.header_done() && age > limits_.header_timeout;
+    return is_receiving() && (header_late || age > limits_.idle_timeout);
+}
+
+bool
+caller_connection::is_idle_expired(monotonic_time now) const
+{
+    const duration timeout =
+        std::min(idle_timeout_, stop_idle_timeout_.value_or(idle_timeout_));
+    return is_idle() && now - phase_started_at_ > timeout;
 }
 
 void
 caller_connection::tick(monotonic_time now)
 {
+    if (is_receiving_late(now) || is_idle_expired(now))
+    {
+        // A request, or the rest of it, may have arrived meanwhile.
+        receive();
+    }
+    if (is_receiving_late(now))
+    {
+        refuse(input_fault::too_slow);
+    }
+    else if (is_idle_expired(now))
+    {
+        // Not drained: a request that arrives later is not read, and the reset
+        // tells its caller that it was not handled.
+        close(stop_idle_timeout_ ? close_cause::stopping
+                                 : close_cause::idle_timeout);
+    }
     const duration age = now - phase_started_at_;
-    if (phase_ == phase::reading)
+    if (phase_ == phase::draining && age > config::close_drain_time)
     {
-        const bool receiving = reader_.started();
-        const auto idle_timeout =
-            closing_when_idle_
-                ? std::min<duration>(idle_timeout_, config::stop_idle_timeout)
-                : idle_timeout_;
-        const bool header_late =
-            receiving && !reader_.header_done() && age > limits_.header_timeout;
-        const bool body_late = receiving && age > limits_.idle_timeout;
-        if (header_late || body_late)
-        {
-            refuse(input_fault::too_slow);
-        }
-        else if (is_idle() && age > idle_timeout)
-        {
-            close_idle(closing_when_idle_ ? close_cause::stopping
-                                          : close_cause::idle_timeout);
-        }
-        return;
+        close(end_.cause);
     }
-    const bool drain_expired =
-        phase_ == phase::draining && age > config::close_drain_time;
-    const bool write_stalled =
-        phase_ == phase::writing && age > config::write_stall_timeout;
-    if (drain_expired || write_stalled)
+    else if (phase_ == phase::writing && age > config::write_stall_timeout)
     {
-        close(drain_expired ? end_.cause : close_cause::write_timeout);
+        close(close_cause::write_timeout);
     }
 }
 
--- a/src/caller_connection.hpp
+++ b/src/caller_connection.hpp
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 /// Server side of one HTTP/1.1 connection: from a caller, from another VM, or
@@ -80,8 +81,9 @@
     void
     start();
 
-    /// Sets the limits of further requests. The idle period in progress keeps
-    /// its timeout if that is longer, since the caller may rely on it.
+    /// Sets the limits of further requests; one that is being received keeps
+    /// its own. The idle period in progress keeps its timeout if that is
+    /// longer, since the caller may rely on it.
     void
     set_limits(const caller_limits& limits);
 
@@ -99,10 +101,10 @@
     void
     set_on_disconnect(std::function<void()> on_disconnect);
 
-    /// Ends keep-alive, and shortens the idle timeout to
-    /// `config::stop_idle_timeout`.
+    /// Ends keep-alive, and closes the connection once it has been idle for
+    /// `idle_timeout`, if its own timeout is not shorter.
     void
-    close_when_idle();
+    close_when_idle(duration idle_timeout);
 
     /// Ends keep-alive: the connection closes after the next reply, which
     /// carries `Connection: close`, unless a request is already queued behind.
@@ -119,10 +121,11 @@
         return phase_ != phase::closed;
     }
 
+    /// Returns whether part of a request has arrived.
     bool
-    is_busy() const
+    is_receiving() const
     {
-        return phase_ == phase::handling || phase_ == phase::writing;
+        return phase_ == phase::reading && reader_.started();
     }
 
 private:
@@ -150,18 +153,21 @@
     on_written();
     void
     refuse(input_fault fault);
+    bool
+    is_receiving_late(monotonic_time now) const;
+    bool
+    is_idle_expired(monotonic_time now) const;
     void
     begin_drain(close_cause cause);
     void
-    close_idle(close_cause cause);
-    void
     close(close_cause cause);
     void
     report_end();
 
     boost::asio::ip::tcp::socket socket_;
-    caller_limits limits_;
-    duration idle_timeout_; ///< of the idle period in progress, or the next
+    caller_limits limits_;      ///< of the request being received, or the next
+    caller_limits next_limits_; ///< replace `limits_` at the next request
+    duration idle_timeout_;     ///< of the idle period in progress, or the next
     connection_handlers handlers_;
     request_reader reader_;
     std::function<void()> on_disconnect_;
@@ -176,7 +182,8 @@
     bool read_wait_pending_ = false;
     bool input_ended_ = false; ///< the caller closed its sending side
     bool keep_alive_disabled_ = false;
-    bool closing_when_idle_ = false;
+    /// Set by `close_when_idle`.
+    std::optional<duration> stop_idle_timeout_;
     bool keep_alive_ = true;
     bool bodiless_ = false;      ///< reply to a HEAD request
     bool continue_sent_ = false; ///< 100 Continue, for the current request
--- a/src/config.hpp
+++ b/src/config.hpp
@@ -386,9 +386,9 @@
 inline constexpr auto close_drain_time = 1s;
 // A caller that reads nothing of its answer for this time loses the rest.
 inline constexpr auto write_stall_timeout = 10s;
-// Idle timeout during a graceful stop. Longer than a caller takes to send the
-// first request on a new connection.
-inline constexpr auto stop_idle_timeout = 1s;
+// A stop closes idle connections this long before the process exits. Callers
+// that use theirs earlier are told by the answer, which cannot cross a request.
+inline constexpr auto stop_close_time = 1s;
 
 // Share of a target's accepted connections that all VMs may use together.
 inline constexpr double target_connection_share = 0.9;
--- a/src/entry_server_stop.cpp
+++ b/src/entry_server_stop.cpp
@@ -59,6 +59,10 @@
     }
     const bool closing =
         stopping_ && now - stop_started_at_ > times_.close_idle_after;
+    // A new connection gets as much time for its first request as that request
+    // gets until the exit.
+    const duration idle_timeout =
+        (times_.exit_after - times_.close_idle_after) / 2;
     bool busy = false;
     for (auto it = connections_.begin(); it != connections_.end();)
     {
@@ -70,7 +74,7 @@
         }
         if (closing)
         {
-            connection->close_when_idle();
+            connection->close_when_idle(idle_timeout);
         }
         connection->tick(now);
         busy = busy || connection->is_open();
--- a/tests/test_caller_connection.cpp
+++ b/tests/test_caller_connection.cpp
@@ -105,7 +105,7 @@
     SECTION("at the idle timeout") {}
     SECTION("at a stop")
     {
-        f.connection->close_when_idle();
+        f.connection->close_when_idle(1s);
     }
     f.caller.send(std::string(request_text));
     f.tick_after(5s);
@@ -123,7 +123,7 @@
         boost::asio::post(f.loop,
             [&]
             {
-                f.connection->close_when_idle();
+                f.connection->close_when_idle(1s);
                 f.tick_after(5s);
             });
     };
@@ -136,13 +136,51 @@
     "[entry]")
 {
     connection_fixture f(10s);
-    f.connection->close_when_idle();
+    f.connection->close_when_idle(1s);
     f.tick_after(0s);
     f.caller.send(std::string(request_text));
     CHECK(f.caller.reply().body == "done");
     f.caller.run_until([&] { return f.caller.closed; });
 }
 
+TEST_CASE("a request in the receive buffer is answered after a reply that ends "
+          "keep-alive",
+    "[entry]")
+{
+    connection_fixture f(10s);
+    f.hold = true;
+    f.caller.send(std::string(request_text));
+    f.caller.run_until([&] { return f.requests == 1; });
+    f.connection->disable_keep_alive();
+    f.hold = false;
+    f.caller.send(std::string(request_text));
+    f.connection->answer(http_reply(f.reply));
+    CHECK(f.caller.reply().body == "done");
+    CHECK(f.caller.reply().body == "done");
+}
+
+TEST_CASE(
+    "a request that has arrived whole is not refused as too slow", "[entry]")
+{
+    connection_fixture f(10s);
+    f.caller.send(std::string(request_text.substr(0, 10)));
+    f.caller.run_until([&] { return f.connection->is_receiving(); });
+    f.caller.send(std::string(request_text.substr(10)));
+    f.tick_after(6s);
+    CHECK(f.caller.reply().status == 200);
+}
+
+TEST_CASE("new limits do not end a request that is being received", "[entry]")
+{
+    connection_fixture f(10s);
+    f.caller.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nab");
+    f.caller.run_until([&] { return f.connection->is_receiving(); });
+    f.set_idle_timeout(1s);
+    f.tick_after(2s);
+    f.caller.send("cd");
+    CHECK(f.caller.reply().status == 200);
+}
+
 TEST_CASE("a request that crosses an idle close is not read", "[entry]")
 {
     connection_fixture f(1s);
