--- a/tests/test_gather_orders.cpp
+++ b/tests/test_gather_orders.cpp
@@ -125,6 +125,17 @@
             1, {entry_vm::make_route("q", {"s0", "s1", "s2"}, true, true)});
     }
 
+    /// Also sets the time after which shards are hedged, a share of it.
+    void
+    set_target_latency(duration target_latency)
+    {
+        route_rule route =
+            entry_vm::make_route("q", {"s0", "s1", "s2"}, true, true);
+        route.target_latency = target_latency;
+        route.timeout = 2 * target_latency;
+        vm.adopt(2, {route});
+    }
+
     http_reply
     ask()
     {
@@ -375,6 +386,61 @@
     CHECK(count(z.vm, counter::delegates_lost) == 1);
 }
 
+// Guards against shards that wait for their hedge, after 27 minutes here.
+TEST_CASE(
+    "the shards of an order that fails are sent elsewhere at once", "[entry]")
+{
+    const std::vector<scripted_reply> failures{
+        {"", true},
+        {"", false, true},
+        {http_text(200, "Content-Type: application/cbor\r\n", "x")
+                .substr(0, 60),
+            true},
+        {http_text(503, "", "")},
+        {http_text(503, "Connection: close\r\n", ""), true},
+    };
+    for (const scripted_reply& failure : failures)
+    {
+        CAPTURE(failure.bytes, failure.reset_after);
+        three_zones z;
+        z.set_target_latency(1h);
+        stand_in_target ending(z.vm.loop, "ending",
+            [&](const parsed_request&) { return failure; });
+        z.vm.delegates.set_vms({{"vm-s", "south", ending.address()}});
+        const http_reply reply = z.ask();
+        CHECK(reply.status == 200);
+        CHECK(proofs_of(reply).size() == 3);
+        CHECK(ending.received.size() == 1);
+    }
+}
+
+// Guards against answers that lack the shards of an order sent at a stop.
+TEST_CASE("orders to a VM that stops are served", "[entry]")
+{
+    three_zones z;
+    z.set_target_latency(1h);
+    z.vm.delegates.set_vms({z.delegate.registration()});
+    CHECK(proofs_of(z.ask()).size() == 3);
+    REQUIRE(count(z.vm, counter::gather_orders_received) == 1);
+    bool stopped = false;
+    z.delegate.server.stop([&] { stopped = true; });
+    const auto check_served = [&]
+    {
+        const http_reply reply = z.ask();
+        CHECK(reply.status == 200);
+        CHECK(proofs_of(reply).size() == 3);
+    };
+    check_served();
+    z.callers.back()->run_until(
+        [&]
+        {
+            z.delegate.server.tick();
+            return stopped;
+        });
+    check_served();
+    CHECK(count(z.vm, counter::gather_orders_received) == 1);
+}
+
 // Guards against a refused order that is treated as an answer or loses shards.
 TEST_CASE("the shards of a refused order are queried directly", "[entry]")
 {
