Look at a kept connection before a request is sent on it

What callers saw: a non-idempotent request was answered 502 although its target never ran it, or got bytes that no request had asked for as its answer. An idempotent one spent an attempt and extra load on a retry. A call to the store, a relay or a VM of another zone failed. Cause: a connection counted as idle until the event loop had handled what arrived on it. Three tests, in which the end or the bytes arrive before the loop runs again, failed before. Change: before a send, the pool and the call channel peek at the connection and close it unless nothing has arrived. They then take the next idle connection or open a new one, which is safe, since nothing was sent. Result: the three tests pass. A close that arrives after the send is handled as before: its outcome is unknown.

--- a/src/call_channel.cpp
+++ b/src/call_channel.cpp
@@ -74,7 +74,7 @@
                 finish({});
             }
         });
-    if (link_ && link_->state() == link_state::idle)
+    if (link_ && link_->check_ready())
     {
         send();
         return;
--- a/src/target_link.cpp
+++ b/src/target_link.cpp
@@ -62,6 +62,23 @@
         });
 }
 
+bool
+target_link::check_ready()
+{
+    if (state_ != link_state::idle)
+    {
+        return false;
+    }
+    char next = 0;
+    error_code error;
+    socket_.receive(asio::buffer(&next, 1), tcp::socket::message_peek, error);
+    if (error != asio::error::would_block)
+    {
+        close();
+    }
+    return state_ == link_state::idle;
+}
+
 void
 target_link::exchange(std::string bytes, std::string request_id, bool bodiless,
     reply_handler handler)
--- a/src/target_link.hpp
+++ b/src/target_link.hpp
@@ -64,6 +64,12 @@
     void
     close();
 
+    /// Returns whether a request can be sent now. Closes an idle connection
+    /// that the target has closed or on which unsolicited bytes have arrived,
+    /// also if the event loop has not reported either yet.
+    bool
+    check_ready();
+
     link_state
     state() const
     {
--- a/src/target_pool.cpp
+++ b/src/target_pool.cpp
@@ -395,6 +395,27 @@
     return link;
 }
 
+std::shared_ptr<target_link>
+target_pool::idle_link(const entry& e)
+{
+    // The most recently used connection is the least likely to have been closed
+    // by the target.
+    std::shared_ptr<target_link> latest;
+    do
+    {
+        latest = nullptr;
+        for (const auto& link : e.links)
+        {
+            if (link->state() == link_state::idle &&
+                (!latest || link->since() > latest->since()))
+            {
+                latest = link;
+            }
+        }
+    } while (latest && !latest->check_ready());
+    return latest;
+}
+
 send_id
 target_pool::send(target_state& target, send_order&& order)
 {
@@ -408,20 +429,9 @@
     record_sent(target, id, pending.order.expected, now);
     spend_cold_allowance(target, context_of(e.service));
     metrics_.add(counter::sub_requests);
-    // The most recently used connection is the least likely to have been closed
-    // by the target.
-    std::shared_ptr<target_link> free;
-    for (const auto& link : e.links)
-    {
-        if (link->state() == link_state::idle &&
-            (!free || link->since() > free->since()))
-        {
-            free = link;
-        }
-    }
-    if (free)
+    if (const auto idle = idle_link(e))
     {
-        begin(e, free, id);
+        begin(e, idle, id);
     }
     else
     {
--- a/src/target_pool.hpp
+++ b/src/target_pool.hpp
@@ -230,6 +230,9 @@
     wake_waiter(service_state& service);
     void
     serve_waiter(service_state& service);
+    /// Returns an idle connection of the target that is still open, or null.
+    static std::shared_ptr<target_link>
+    idle_link(const entry& e);
     void
     begin(entry& e, const std::shared_ptr<target_link>& link, send_id id);
     /// Calls `opened` from the event loop, with null if the connection failed.
--- a/tests/test_kept_connections.cpp
+++ b/tests/test_kept_connections.cpp
@@ -1,3 +1,4 @@
+#include "call_channel.hpp"
 #include "manual_target.hpp"
 
 using namespace bramleymux;
@@ -71,6 +72,37 @@
 
 } // namespace
 
+// Guards against a 502 for a request sent after the end of its connection.
+TEST_CASE(
+    "a request is not sent on a connection that the target closed", "[entry]")
+{
+    const bool reset = GENERATE(false, true);
+    CAPTURE(reset);
+    kept_connection kept(false);
+    // Both arrive before the event loop runs again, the request first.
+    kept.caller.send(request("r2"));
+    reset ? kept.target.reset(0) : kept.target.close(0);
+    const std::size_t next = kept.next_request();
+    CHECK(next == 1);
+    kept.target.write(next, reply_to("r2"));
+    const http_reply reply = kept.caller.reply();
+    CHECK(reply.status == 200);
+    CHECK(reply.body == "body of r2");
+}
+
+// Guards against bytes that arrived earlier, taken as the next reply.
+TEST_CASE("a request is not sent on a connection with unread bytes", "[entry]")
+{
+    kept_connection kept(false);
+    kept.caller.send(request("r2"));
+    kept.target.write(0, "HTTP/1.1 200 X\r\nX-Response-Stamp: p\r\n"
+                         "Content-Length: 5\r\n\r\nextra");
+    const std::size_t next = kept.next_request();
+    CHECK(next == 1);
+    kept.target.write(next, reply_to("r2"));
+    CHECK(kept.caller.reply().body == "body of r2");
+}
+
 // Guards against a failure, a second run or a false "not run".
 TEST_CASE("a request that crosses the close of a kept connection", "[entry]")
 {
@@ -226,3 +258,68 @@
         REQUIRE(caller.reply().body == "0123456789");
     }
 }
+
+namespace
+{
+
+/// A call channel to a server, whose first call was answered over a connection
+/// that is kept.
+struct kept_channel
+{
+    kept_channel() : server(parts.loop), channel(parts.loop, server.address())
+    {
+        call();
+        serve();
+        wait();
+        CHECK(reply.status == 200);
+    }
+
+    void
+    call()
+    {
+        done = false;
+        channel.call({"GET", "/x", {}, {}}, 1h,
+            [this](call_reply&& r)
+            {
+                reply = std::move(r);
+                done = true;
+            });
+    }
+
+    /// Replies to the next request. Returns its connection.
+    std::size_t
+    serve()
+    {
+        runner.run_until([this] { return server.has_input() || done; });
+        REQUIRE(!done);
+        const std::size_t at = server.read();
+        server.write(at, http_text(200, "", "ok"));
+        return at;
+    }
+
+    void
+    wait()
+    {
+        runner.run_until([this] { return done; });
+    }
+
+    entry_vm parts;
+    manual_target server;
+    call_channel channel;
+    test_caller runner{parts.loop, parts.caller_address()};
+    call_reply reply;
+    bool done = false;
+};
+
+} // namespace
+
+// Guards against a call sent after the end of its connection arrived.
+TEST_CASE("a call is not sent on a connection that was closed", "[entry]")
+{
+    kept_channel kept;
+    kept.server.close(0);
+    kept.call();
+    CHECK(kept.serve() == 1);
+    kept.wait();
+    CHECK(kept.reply.status == 200);
+}
