Skip attested replies without an id where ids are echoed

What callers saw: nothing on record. In the test, the caller of the next request got a reply that its target had not given to it, as a success. Cause: a reply without a request id was accepted for any request, so stray bytes in the form of a reply, which arrived late on a connection in use, were passed on. Targets echo the id, so that late replies can be told apart. Evidence: the case "copy without an id" of "late bytes on a connection in use reach no caller" failed before. Change: on a connection whose earlier replies echoed the id, a reply with a proof and without an id is skipped like a reply to another request, and the connection is not reused. Result: the test passes. Rejections and the first reply of a connection are accepted without an id as before, in case a target does not echo it there.

--- a/src/target_link.cpp
+++ b/src/target_link.cpp
@@ -183,13 +183,24 @@
     }
 }
 
+bool
+target_link::is_of_other_request(const target_reply& reply) const
+{
+    if (request_id_.empty())
+    {
+        return false;
+    }
+    // A target that has echoed an id does so in every reply that it attests;
+    // without an id, the request that the reply belongs to is unknown.
+    return reply.request_id.empty() ? echoes_ids_ && !reply.proof.empty()
+                                    : reply.request_id != request_id_;
+}
+
 void
 target_link::accept_reply(http_reply&& reply)
 {
     target_reply decoded = wire_.read_reply(std::move(reply));
-    const bool other = !decoded.request_id.empty() && !request_id_.empty() &&
-                       decoded.request_id != request_id_;
-    if (other)
+    if (is_of_other_request(decoded))
     {
         tainted_ = true;
         if (!decoded.keep_alive)
@@ -198,6 +209,7 @@
         }
         return;
     }
+    echoes_ids_ = echoes_ids_ || !decoded.request_id.empty();
     finish(link_outcome::reply, std::move(decoded));
 }
 
--- a/src/target_link.hpp
+++ b/src/target_link.hpp
@@ -101,6 +101,8 @@
     on_bytes();
     void
     on_end(bool at_eof);
+    bool
+    is_of_other_request(const target_reply& reply) const;
     void
     accept_reply(http_reply&& reply);
     void
@@ -118,7 +120,8 @@
     std::string output_;
     std::size_t written_ = 0;
     bool writing_ = false;
-    bool tainted_ = false; ///< received a reply to another request
+    bool tainted_ = false;    ///< received a reply to another request
+    bool echoes_ids_ = false; ///< an earlier reply carried its request's id
     bool any_byte_ = false;
     bool bodiless_ = false;
     std::string request_id_;
--- a/tests/test_kept_connections.cpp
+++ b/tests/test_kept_connections.cpp
@@ -129,11 +129,14 @@
     const std::string no_content =
         "HTTP/1.1 204 X\r\nX-Request-Id: r1\r\nX-Response-Stamp: p-r1\r\n\r\n";
     const std::string unchanged = reply_to("r1", 304, false);
+    const std::string unnamed = "HTTP/1.1 200 X\r\nX-Response-Stamp: p\r\n"
+                                "Content-Length: 5\r\n\r\nextra";
     const std::vector<late_bytes> cases{
         {"copy", "GET", copy, copy},
         {"two copies", "GET", copy, copy + copy},
         {"copy after an interim reply", "GET", interim + copy, interim + copy},
         {"interim reply after the copy", "GET", copy, copy + interim},
+        {"copy without an id", "GET", copy, unnamed},
         {"204", "GET", no_content, no_content},
         {"204, stray body", "GET", no_content, "stray"},
         {"204, stray chunk", "GET", no_content, "5\r\nstray\r\n0\r\n\r\n"},
