Close the connection of a rejected health probe

What callers saw: nothing on record. In the test, a non-idempotent request ran at two targets. Cause: the connection of a probe is kept for requests. A probe has no id, so a late copy of its rejection carries none and was taken for the rejection of the next request, which was then sent to another target while it ran. Evidence: "a late copy of a probe's rejection rejects no request" failed before. Change: the connection of a probe that was rejected is closed. A copy of a probe's success cannot pass for an answer, since it has no proof. Result: the test passes. The cost is one connection for each rejected probe.

--- a/src/target_pool_upkeep.cpp
+++ b/src/target_pool_upkeep.cpp
@@ -65,6 +65,13 @@
     const target_reply& reply = result.reply;
     const bool replied = result.outcome == link_outcome::reply;
     e.state.probing = false;
+    const auto link = e.probe_link.lock();
+    if (reply.not_run && link)
+    {
+        // A late copy of this rejection carries no id, and would be taken for a
+        // rejection of the next request on the connection.
+        link->close();
+    }
     if (replied && !reply.target_id.empty() && reply.target_id != id)
     {
         e.state.misdirected = true;
--- a/tests/test_kept_connections.cpp
+++ b/tests/test_kept_connections.cpp
@@ -183,6 +183,30 @@
     }
 }
 
+// Guards against a second run: the copy carries no request id.
+TEST_CASE("a late copy of a probe's rejection rejects no request", "[entry]")
+{
+    kept_connection kept(false);
+    const std::string rejection = http_text(503, "X-Not-Executed: 1\r\n", "");
+    kept.caller.send(request("r2"));
+    const std::size_t silent = kept.next_request();
+    // The VM probes a target that has been silent for too long.
+    const std::size_t probe = kept.next_request();
+    REQUIRE(kept.target.input.find("X-Request-Id") == std::string::npos);
+    kept.target.write(silent, reply_to("r2"));
+    CHECK(kept.caller.reply().body == "body of r2");
+    kept.target.write(probe, rejection);
+    kept.caller.run_until([&] { return kept.vm.pool.is_served("s", {}); });
+    stand_in_target other(kept.vm.loop, "tb",
+        [](const parsed_request& r) { return good(r, "pb", "second run"); });
+    kept.caller.send(request("r3"));
+    const std::size_t next = kept.next_request();
+    kept.vm.pool.put(other.record("s", "far"));
+    kept.target.write(next, (next == probe ? rejection : "") + reply_to("r3"));
+    CHECK(kept.caller.reply().body == "body of r3");
+    CHECK(other.received.empty());
+}
+
 // Guards against the reply to a hedged send, passed to the next caller.
 TEST_CASE("the late reply of an abandoned send reaches no caller", "[entry]")
 {
