Repeat a read whose kept connection closes without a reply

In the tests, one idle close by the store or a relay that crossed a call passed for an outage: a store feed backed off and its VM refused the polls of its followers, and a follower took the relay for failed and followed the store itself for 8 s. Cause: a call channel reported every connection that ended without a reply alike, and its users took that for an outage. Change: a call that may be executed twice is sent once more, on a new connection, if it went out on a kept one that closed without a byte of a reply. A call sent at least once is never reported as unsent, so that a relay that is gone is still recognised at once. Watches and writes are not repeated: after a broken watch the objects are listed again, and a write may have taken effect. A repeated call adds a call that platform_calls does not count.

--- a/src/call_channel.cpp
+++ b/src/call_channel.cpp
@@ -74,11 +74,19 @@
                 finish({});
             }
         });
-    if (link_ && link_->check_ready())
+    const bool kept = link_ && link_->check_ready();
+    may_resend_ = kept && request.repeatable;
+    if (kept)
     {
         send();
         return;
     }
+    connect();
+}
+
+void
+call_channel::connect()
+{
     link_ = std::make_shared<target_link>(loop_, call_wire());
     link_->open(*parse_endpoint(address_),
         [this, alive = alive_, call_id = call_id_](bool opened)
@@ -113,19 +121,32 @@
 call_channel::send()
 {
     sent_ = true;
-    link_->exchange(std::move(request_), {}, false,
+    link_->exchange(request_, {}, false,
         [this, alive = alive_, call_id = call_id_](link_result&& result)
         {
             if (*alive && call_id == call_id_ && handler_)
             {
-                finish(result.outcome == link_outcome::reply
-                           ? call_reply{result.reply.status,
-                                 std::move(result.reply.body)}
-                           : call_reply{});
+                on_result(std::move(result));
             }
         });
 }
 
+void
+call_channel::on_result(link_result&& result)
+{
+    const bool resend = may_resend_ && result.outcome == link_outcome::closed &&
+                        !result.any_byte;
+    may_resend_ = false;
+    if (resend)
+    {
+        connect();
+        return;
+    }
+    finish(result.outcome == link_outcome::reply
+               ? call_reply{result.reply.status, std::move(result.reply.body)}
+               : call_reply{});
+}
+
 void
 call_channel::finish(call_reply&& reply)
 {
--- a/src/call_channel.hpp
+++ b/src/call_channel.hpp
@@ -18,6 +18,9 @@
     std::string path; ///< with the query string
     std::string body;
     std::string content_type = "application/json"; ///< sent with a body
+    /// The call may be executed twice. It is sent once more, on a new
+    /// connection, if a kept one closes without a byte of a reply.
+    bool repeatable = false;
 };
 
 struct call_reply
@@ -58,9 +61,13 @@
     }
 
 private:
+    void
+    connect();
     void
     send();
     void
+    on_result(link_result&& result);
+    void
     finish(call_reply&& reply);
 
     boost::asio::io_context& loop_;
@@ -70,6 +77,7 @@
     std::string request_;
     reply_handler handler_;
     bool sent_ = false;
+    bool may_resend_ = false;
     std::uint64_t call_id_ = 0;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/change_hub.cpp
+++ b/src/change_hub.cpp
@@ -151,7 +151,7 @@
         {"GET",
             std::string(changes_path) + "?epoch=" + std::to_string(r.epoch) +
                 "&after=" + std::to_string(r.sequence),
-            {}, {}},
+            {}, {}, true},
         config::relay_poll_wait + config::relay_poll_margin,
         [this, &r](call_reply&& reply) { on_poll(r, std::move(reply)); });
 }
--- a/src/gather_delegates.cpp
+++ b/src/gather_delegates.cpp
@@ -327,7 +327,7 @@
 gather_delegates::probe(const std::shared_ptr<delegate>& d)
 {
     d->probing = true;
-    d->probe_channel.call({"GET", std::string(gather_path), {}, {}},
+    d->probe_channel.call({"GET", std::string(gather_path), {}, {}, true},
         config::delegate_probe_timeout,
         [this, d](call_reply&& reply)
         {
--- a/tests/test_change_hub.cpp
+++ b/tests/test_change_hub.cpp
@@ -257,6 +257,22 @@
     change_hub hub;
 };
 
+/// Returns an id that ranks behind the relays `vms`.
+std::string
+follower_id(const std::vector<registered_vm>& vms)
+{
+    for (int i = 0;; ++i)
+    {
+        std::string candidate = "f" + std::to_string(i);
+        std::vector<registered_vm> all = vms;
+        all.push_back({candidate, "north", "127.0.0.1:1"});
+        if (!plan_relays(all, candidate, "north").is_relay)
+        {
+            return candidate;
+        }
+    }
+}
+
 } // namespace
 
 // Guards against a VM that misses changes because one relay is cut off from the
@@ -272,18 +288,7 @@
             parts.loop, parts, "r" + std::to_string(i)));
         vms.push_back(relays.back()->registration("r" + std::to_string(i)));
     }
-    // Picks an id for the follower that ranks behind the relays.
-    std::string id;
-    for (int i = 0; id.empty(); ++i)
-    {
-        const std::string candidate = "f" + std::to_string(i);
-        std::vector<registered_vm> all = vms;
-        all.push_back({candidate, "north", "127.0.0.1:1"});
-        if (!plan_relays(all, candidate, "north").is_relay)
-        {
-            id = candidate;
-        }
-    }
+    const std::string id = follower_id(vms);
     hub_vm follower(parts.loop, parts, id);
     vms.push_back(follower.registration(id));
     for (const auto& relay : relays)
@@ -323,3 +328,40 @@
     relays[2]->hub.stop();
     run_until([&] { return follower.follows; });
 }
+
+// Guards against a follower that turns to the store for one closed relay.
+TEST_CASE(
+    "a poll that crosses the close of its connection is sent again", "[entry]")
+{
+    entry_vm parts;
+    change_view view;
+    view.epoch = 1;
+    const std::string delta = encode_delta(delta_since(view, 0, 0));
+    std::vector<std::unique_ptr<stand_in_target>> relays;
+    std::vector<registered_vm> vms;
+    for (int i = 0; i < 3; ++i)
+    {
+        const auto polls = std::make_shared<std::size_t>(0);
+        const std::string id = "r" + std::to_string(i);
+        relays.push_back(std::make_unique<stand_in_target>(parts.loop, id,
+            [polls, &delta](const parsed_request&) -> scripted_reply
+            {
+                return ++*polls % 2 == 0
+                           ? scripted_reply{"", true}
+                           : scripted_reply{http_text(200, "", delta)};
+            }));
+        vms.push_back({id, "north", relays.back()->address()});
+    }
+    const std::string id = follower_id(vms);
+    hub_vm follower(parts.loop, parts, id);
+    vms.push_back(follower.registration(id));
+    follower.hub.set_vms(vms);
+    test_caller runner(parts.loop, parts.caller_address());
+    runner.run_until(
+        [&]
+        {
+            return std::all_of(relays.begin(), relays.end(),
+                [](const auto& r) { return r->received.size() >= 6; });
+        });
+    CHECK(!follower.follows);
+}
--- a/tests/test_kept_connections.cpp
+++ b/tests/test_kept_connections.cpp
@@ -1,5 +1,6 @@
 #include "call_channel.hpp"
 #include "manual_target.hpp"
+#include "store_feed.hpp"
 
 using namespace bramleymux;
 using namespace bramleymux::fixture;
@@ -295,17 +296,19 @@
 {
     kept_channel() : server(parts.loop), channel(parts.loop, server.address())
     {
-        call();
+        call(false);
         serve();
         wait();
         CHECK(reply.status == 200);
     }
 
     void
-    call()
+    call(bool repeatable)
     {
         done = false;
-        channel.call({"GET", "/x", {}, {}}, 1h,
+        call_request request{"GET", "/x", {}, {}};
+        request.repeatable = repeatable;
+        channel.call(request, 1h,
             [this](call_reply&& r)
             {
                 reply = std::move(r);
@@ -345,8 +348,73 @@
 {
     kept_channel kept;
     kept.server.close(0);
-    kept.call();
+    kept.call(false);
     CHECK(kept.serve() == 1);
     kept.wait();
     CHECK(kept.reply.status == 200);
 }
+
+// Guards against a needless failure, and against a write that runs twice.
+TEST_CASE("a call that crosses the close of its connection", "[entry]")
+{
+    const bool repeatable = GENERATE(false, true);
+    CAPTURE(repeatable);
+    kept_channel kept;
+    kept.call(repeatable);
+    kept.runner.run_until([&] { return kept.server.has_input(); });
+    kept.server.close(kept.server.read());
+    if (repeatable)
+    {
+        CHECK(kept.serve() == 1);
+    }
+    kept.wait();
+    CHECK(kept.reply.status == (repeatable ? 200 : 0));
+    CHECK(!kept.reply.unsent);
+    CHECK(kept.server.requests == (repeatable ? 3 : 2));
+}
+
+// Guards against endless repeats, and against a sent call called unsent.
+TEST_CASE("a call is repeated once at most", "[entry]")
+{
+    kept_channel kept;
+    kept.call(true);
+    for (std::size_t i = 0; i < 2; ++i)
+    {
+        kept.runner.run_until(
+            [&] { return kept.server.has_input() || kept.done; });
+        REQUIRE(!kept.done);
+        CHECK(kept.server.read() == i);
+        kept.server.close(i);
+    }
+    kept.wait();
+    CHECK(kept.reply.status == 0);
+    CHECK(!kept.reply.unsent);
+    CHECK(kept.server.requests == 3);
+}
+
+// Guards against a back-off, and refused polls of followers, for one close.
+TEST_CASE(
+    "a poll that crosses the close of the store's connection is no outage",
+    "[platform]")
+{
+    entry_vm parts;
+    std::size_t calls = 0;
+    stand_in_target store(parts.loop, "store",
+        [&](const parsed_request&) -> scripted_reply
+        {
+            ++calls;
+            return calls % 3 == 0
+                       ? scripted_reply{"", true}
+                       : scripted_reply{http_text(200, "",
+                             R"({"items":[],"hasMore":false,"at":5})")};
+        });
+    change_hub hub(parts.loop, parts.counters, parts.log, "vm-1", "north",
+        {"rollouts"}, {[](const store_change&) {}, [](bool) {}});
+    platform::store_feed feed(parts.loop, store.address(), parts.counters,
+        parts.log, {"rollouts", {}, 1ms}, hub);
+    feed.start();
+    test_caller runner(parts.loop, parts.caller_address());
+    runner.run_until([&] { return calls >= 10; });
+    feed.stop();
+    CHECK(parts.counters.read()[counter::platform_failures] == 0);
+}
