--- a/tests/test_gather_orders.cpp
+++ b/tests/test_gather_orders.cpp
@@ -218,7 +218,7 @@
     CHECK(!decode_parts(""));
     const std::string whole =
         encode_parts({{{part_state::answered, "p", 1ms, {}}}, record('1')});
-    const auto property = [&](std::string bytes, std::uint8_t cut)
+    const auto property = [&](const std::string& bytes, std::uint8_t cut)
     {
         static_cast<void>(decode_order(bytes));
         static_cast<void>(decode_parts(bytes));
