--- a/src/target_link.hpp
+++ b/src/target_link.hpp
@@ -64,6 +64,12 @@
     void
     close();
 
+    /// Returns whether a request can be sent now. Closes an idle connection
+    /// that the target has closed or on which unsolicited bytes have arrived,
+    /// also if the event loop has not reported either yet.
+    bool
+    check_ready();
+
     link_state
     state() const
     {
@@ -95,6 +101,8 @@
     on_bytes();
     void
     on_end(bool at_eof);
+    bool
+    is_of_other_request(const target_reply& reply) const;
     void
     accept_reply(http_reply&& reply);
     void
@@ -112,7 +120,8 @@
     std::string output_;
     std::size_t written_ = 0;
     bool writing_ = false;
-    bool tainted_ = false; ///< received a reply to another request
+    bool tainted_ = false;    ///< received a reply to another request
+    bool echoes_ids_ = false; ///< an earlier reply carried its request's id
     bool any_byte_ = false;
     bool bodiless_ = false;
     std::string request_id_;
