Answer requests that are running when the HTTP server stops

What callers saw: a request of bramleymuxd that outlasted the grace time of a stop, or whose body was half read when the HTTP server closed, got neither an answer nor a refusal; its connection closed. Cause: http_server::stop called mg_stop at once. From then on CivetWeb ends each read and drops each write, so the handler still ran, but its response and the rest of a body were lost. The admin server lost responses in the same way. Evidence: both new tests fail without the change, with an empty reply. Change: stop waits until no request is between the entry of its handler and the end of its response, and only then calls mg_stop. Queries end at their deadline, and CivetWeb bounds the reading and writing of a request, so the wait ends too. A request that CivetWeb still reads after that is not run.

--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <array>
 #include <cctype>
+#include <condition_variable>
+#include <mutex>
 #include <stdexcept>
 
 namespace bramleymux
@@ -16,6 +18,7 @@
 constexpr const char* idle_timeout_ms = "30000";
 constexpr const char* request_timeout_ms = "10000";
 constexpr std::size_t read_chunk_bytes = 16384;
+constexpr int status_not_handled = 503; // for CivetWeb only, not written
 
 std::string
 lower_case(std::string text)
@@ -176,6 +179,11 @@
     server_handler handler;
     std::size_t max_body_bytes = 0;
     mg_context* context = nullptr;
+    std::mutex mutex;
+    std::condition_variable drained_changed;
+    std::size_t running = 0; ///< requests without a complete response
+    bool stopping = false;
+    bool drained = false; ///< stopping, and nothing was running at some time
 
     static int
     on_request(mg_connection* conn, void* self)
@@ -184,7 +192,19 @@
     }
 
     int
-    handle(mg_connection* conn) const
+    handle(mg_connection* conn)
+    {
+        if (!begin_request())
+        {
+            return status_not_handled;
+        }
+        const int status = respond(conn);
+        end_request();
+        return status;
+    }
+
+    int
+    respond(mg_connection* conn) const
     {
         const mg_request_info* info = mg_get_request_info(conn);
         server_request request = to_server_request(*info);
@@ -198,6 +218,42 @@
         write_response(conn, response);
         return response.status;
     }
+
+    /// Returns false if the server no longer writes responses. The request must
+    /// then not run.
+    bool
+    begin_request()
+    {
+        const std::lock_guard<std::mutex> lock(mutex);
+        running += drained ? 0 : 1;
+        return !drained;
+    }
+
+    void
+    end_request()
+    {
+        const std::lock_guard<std::mutex> lock(mutex);
+        --running;
+        update_drained();
+    }
+
+    /// Requires `mutex`. Decides here rather than in the waiting thread, which
+    /// could find the next request running each time it wakes up.
+    void
+    update_drained()
+    {
+        drained = drained || (stopping && running == 0);
+        drained_changed.notify_all();
+    }
+
+    void
+    drain()
+    {
+        std::unique_lock<std::mutex> lock(mutex);
+        stopping = true;
+        update_drained();
+        drained_changed.wait(lock, [this] { return drained; });
+    }
 };
 
 http_server::http_server(
@@ -248,6 +304,8 @@
 {
     if (impl_->context != nullptr)
     {
+        // After the start of mg_stop, CivetWeb reads and writes nothing more.
+        impl_->drain();
         mg_stop(impl_->context);
         impl_->context = nullptr;
     }
--- a/src/http_server.hpp
+++ b/src/http_server.hpp
@@ -59,7 +59,8 @@
     http_server&
     operator=(const http_server&) = delete;
 
-    /// Waits for running requests, then closes all connections. Does nothing if
+    /// Waits until running requests, including those with a partly received
+    /// body, have their responses, then closes all connections. Does nothing if
     /// already stopped.
     void
     stop();
--- a/tests/test_http_server.cpp
+++ b/tests/test_http_server.cpp
@@ -7,9 +7,14 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <atomic>
+#include <chrono>
+#include <condition_variable>
 #include <memory>
+#include <mutex>
 #include <random>
 #include <string>
+#include <thread>
 #include <vector>
 
 using namespace bramleymux;
@@ -20,6 +25,8 @@
 constexpr std::size_t server_threads = 8;
 constexpr std::size_t body_limit = 1024;
 constexpr int hang_timeout_s = 60;
+// Lets another thread get ahead in a race. No check depends on its length.
+constexpr auto head_start = std::chrono::milliseconds(300);
 
 std::uint16_t
 port_of(int socket)
@@ -142,6 +149,88 @@
     http_server server;
 };
 
+/// Server whose handler holds each request until `release`. From the start of a
+/// stop on, it closes the connection after each response, as the daemon does.
+class holding_server
+{
+public:
+    holding_server()
+        : port(free_port()),
+          server_({"127.0.0.1:" + std::to_string(port), server_threads,
+                      body_limit, "", ""},
+              [this](const server_request& request) { return hold(request); })
+    {
+    }
+
+    ~holding_server()
+    {
+        release();
+        finish_stop();
+    }
+
+    holding_server(const holding_server&) = delete;
+    holding_server&
+    operator=(const holding_server&) = delete;
+
+    void
+    wait_for_requests(std::size_t count)
+    {
+        std::unique_lock<std::mutex> lock(mutex_);
+        changed_.wait(lock, [&] { return handled_ >= count; });
+    }
+
+    void
+    begin_stop()
+    {
+        stopping_ = true;
+        stopper_ = std::thread([this] { server_.stop(); });
+        std::this_thread::sleep_for(head_start);
+    }
+
+    void
+    release()
+    {
+        {
+            const std::lock_guard<std::mutex> lock(mutex_);
+            released_ = true;
+        }
+        changed_.notify_all();
+    }
+
+    void
+    finish_stop()
+    {
+        if (stopper_.joinable())
+        {
+            stopper_.join();
+        }
+    }
+
+    const std::uint16_t port;
+
+private:
+    server_response
+    hold(const server_request& request)
+    {
+        std::unique_lock<std::mutex> lock(mutex_);
+        ++handled_;
+        changed_.notify_all();
+        changed_.wait(lock, [this] { return released_; });
+        server_response response;
+        response.body = "echo " + request.body;
+        response.close_connection = stopping_;
+        return response;
+    }
+
+    std::atomic<bool> stopping_{false};
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    std::size_t handled_ = 0;
+    bool released_ = false;
+    http_server server_;
+    std::thread stopper_;
+};
+
 /// Formats a POST request; `length` goes into Content-Length unchecked.
 std::string
 post_text(const std::string& length, const std::string& body,
@@ -283,3 +372,28 @@
     }
     check_serving(s.port);
 }
+
+// Guards against dropping the answer of a request that outlasts the grace time.
+TEST_CASE("a request that runs during a stop is answered", "[http_server]")
+{
+    holding_server s;
+    const connection c(s.port);
+    c.write(post_text("4", "good"));
+    s.wait_for_requests(1);
+    s.begin_stop();
+    s.release();
+    CHECK(c.read_all().find("echo good") != std::string::npos);
+}
+
+// Guards against a stop that drops a request whose body is still arriving.
+TEST_CASE("a request half read at a stop is answered", "[http_server]")
+{
+    holding_server s;
+    s.release();
+    const connection c(s.port);
+    c.write(post_text("4", "go"));
+    std::this_thread::sleep_for(head_start);
+    s.begin_stop();
+    c.write("od");
+    CHECK(c.read_all().find("echo good") != std::string::npos);
+}
