Serve requests that wait when the HTTP server stops

What callers saw: a request of bramleymuxd whose connection waited for a server thread when the HTTP server closed got no answer, and its connection stayed open until the process ended. A new connection was closed before its first request, and a request that had arrived on a kept connection was closed unread. Cause: CivetWeb forgets the connections that wait for a thread once mg_stop has begun, and closes all others without looking at what has arrived. Evidence: the tests of waiting requests and of a new connection fail without the change. A request that is sent later stays unread and is not run.

--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -1,5 +1,7 @@
 #include "http_server.hpp"
 
+#include "config.hpp"
+
 #include <civetweb.h>
 
 #include <algorithm>
@@ -8,6 +10,7 @@
 #include <condition_variable>
 #include <mutex>
 #include <stdexcept>
+#include <thread>
 
 namespace bramleymux
 {
@@ -176,14 +179,24 @@
 
 struct http_server::impl
 {
+    /// From `finishing` on, each response closes its connection.
+    enum class phase
+    {
+        serving,
+        finishing, ///< stopping, until no request runs
+        settling,  ///< serves what had arrived before
+        closing,   ///< until no request runs
+        closed,    ///< no further request runs
+        count
+    };
+
     server_handler handler;
     std::size_t max_body_bytes = 0;
     mg_context* context = nullptr;
     std::mutex mutex;
-    std::condition_variable drained_changed;
+    std::condition_variable phase_changed;
     std::size_t running = 0; ///< requests without a complete response
-    bool stopping = false;
-    bool drained = false; ///< stopping, and nothing was running at some time
+    phase current = phase::serving;
 
     static int
     on_request(mg_connection* conn, void* self)
@@ -204,7 +217,7 @@
     }
 
     int
-    respond(mg_connection* conn) const
+    respond(mg_connection* conn)
     {
         const mg_request_info* info = mg_get_request_info(conn);
         server_request request = to_server_request(*info);
@@ -212,9 +225,10 @@
                                      ? read_body(conn, info->content_length,
                                            max_body_bytes, request.body)
                                      : body_result::incomplete;
-        const server_response response =
+        server_response response =
             body == body_result::ok ? handler(request)
                                     : body_error_response(body, max_body_bytes);
+        response.close_connection = response.close_connection || is_stopping();
         write_response(conn, response);
         return response.status;
     }
@@ -225,8 +239,8 @@
     begin_request()
     {
         const std::lock_guard<std::mutex> lock(mutex);
-        running += drained ? 0 : 1;
-        return !drained;
+        running += current == phase::closed ? 0 : 1;
+        return current != phase::closed;
     }
 
     void
@@ -234,25 +248,49 @@
     {
         const std::lock_guard<std::mutex> lock(mutex);
         --running;
-        update_drained();
+        advance_if_idle();
+    }
+
+    bool
+    is_stopping()
+    {
+        const std::lock_guard<std::mutex> lock(mutex);
+        return current != phase::serving;
     }
 
     /// Requires `mutex`. Decides here rather than in the waiting thread, which
     /// could find the next request running each time it wakes up.
     void
-    update_drained()
+    advance_if_idle()
     {
-        drained = drained || (stopping && running == 0);
-        drained_changed.notify_all();
+        if (running != 0)
+        {
+            return;
+        }
+        current = current == phase::finishing ? phase::settling
+                  : current == phase::closing ? phase::closed
+                                              : current;
+        phase_changed.notify_all();
     }
 
+    /// Enters `next` and waits until it ends because no request runs.
     void
-    drain()
+    run_phase(phase next)
     {
         std::unique_lock<std::mutex> lock(mutex);
-        stopping = true;
-        update_drained();
-        drained_changed.wait(lock, [this] { return drained; });
+        current = next;
+        advance_if_idle();
+        phase_changed.wait(lock, [this, next] { return current != next; });
+    }
+
+    /// CivetWeb does not tell which connections wait for a thread or have an
+    /// unread request, so a stop serves them for a fixed time.
+    void
+    drain()
+    {
+        run_phase(phase::finishing);
+        std::this_thread::sleep_for(config::stop_idle_timeout);
+        run_phase(phase::closing);
     }
 };
 
--- a/src/http_server.hpp
+++ b/src/http_server.hpp
@@ -60,8 +60,9 @@
     operator=(const http_server&) = delete;
 
     /// Waits until running requests, including those with a partly received
-    /// body, have their responses, then closes all connections. Does nothing if
-    /// already stopped.
+    /// body, have their responses, serves connections that wait for
+    /// `config::stop_idle_timeout`, then closes all. Does nothing if already
+    /// stopped.
     void
     stop();
 
--- a/tests/test_http_server.cpp
+++ b/tests/test_http_server.cpp
@@ -25,6 +25,7 @@
 constexpr std::size_t server_threads = 8;
 constexpr std::size_t body_limit = 1024;
 constexpr int hang_timeout_s = 60;
+constexpr int waiting_connections = 4;
 // Lets another thread get ahead in a race. No check depends on its length.
 constexpr auto head_start = std::chrono::milliseconds(300);
 
@@ -154,10 +155,10 @@
 class holding_server
 {
 public:
-    holding_server()
+    explicit holding_server(std::size_t threads = server_threads)
         : port(free_port()),
-          server_({"127.0.0.1:" + std::to_string(port), server_threads,
-                      body_limit, "", ""},
+          server_({"127.0.0.1:" + std::to_string(port), threads, body_limit, "",
+                      ""},
               [this](const server_request& request) { return hold(request); })
     {
     }
@@ -397,3 +398,52 @@
     c.write("od");
     CHECK(c.read_all().find("echo good") != std::string::npos);
 }
+
+// Guards against a stop that drops connections which wait for a server thread.
+TEST_CASE(
+    "requests that wait for a thread at a stop are answered", "[http_server]")
+{
+    holding_server s(1);
+    const connection running(s.port);
+    running.write(post_text("4", "good"));
+    s.wait_for_requests(1);
+    std::vector<std::unique_ptr<connection>> waiting;
+    for (int i = 0; i < waiting_connections; ++i)
+    {
+        waiting.push_back(std::make_unique<connection>(s.port));
+        waiting.back()->write(post_text("4", "late"));
+    }
+    s.begin_stop();
+    s.release();
+    s.finish_stop();
+    for (const auto& c : waiting)
+    {
+        CHECK(c->read_all().find("echo late") != std::string::npos);
+    }
+}
+
+// Guards against a stop that closes a kept connection with an unread request.
+TEST_CASE("a request sent just before a stop is answered", "[http_server]")
+{
+    holding_server s;
+    s.release();
+    const connection c(s.port);
+    c.write(post_text("4", "good"));
+    s.wait_for_requests(1);
+    c.write(post_text("4", "late"));
+    s.begin_stop();
+    const std::string answers = c.read_all();
+    CHECK(answers.find("echo good") != std::string::npos);
+    CHECK(answers.find("echo late") != std::string::npos);
+}
+
+// Guards against a stop that closes a new connection before its first request.
+TEST_CASE("a connection opened before a stop can send", "[http_server]")
+{
+    holding_server s;
+    s.release();
+    const connection c(s.port);
+    s.begin_stop();
+    c.write(post_text("4", "good"));
+    CHECK(c.read_all().find("echo good") != std::string::npos);
+}
