Record that a queued request is dropped at a stop of bramleymuxd

What callers see: at a stop, a request that is queued behind a running one on the same connection gets no answer. The response to the running one says Connection: close, and the queued one is not run. Cause: CivetWeb reads queued requests into its own buffer and drops them when a response ends keep-alive; its interface does not tell that the buffer holds any. Without the close, callers would stay on their connections up to the end of the stop. A replacement of CivetWeb by caller_connection would answer them, but that class has no TLS.

--- a/tests/test_http_server.cpp
+++ b/tests/test_http_server.cpp
@@ -399,6 +399,21 @@
     CHECK(c.read_all().find("echo good") != std::string::npos);
 }
 
+// Guards against a stop that drops a request queued behind a running one.
+TEST_CASE("a request queued behind a running one at a stop is answered",
+    "[http_server]")
+{
+    holding_server s;
+    const connection c(s.port);
+    c.write(post_text("5", "first") + post_text("6", "second"));
+    s.wait_for_requests(1);
+    s.begin_stop();
+    s.release();
+    const std::string answers = c.read_all();
+    CHECK(answers.find("echo first") != std::string::npos);
+    CHECK(answers.find("echo second") != std::string::npos);
+}
+
 // Guards against a stop that drops connections which wait for a server thread.
 TEST_CASE(
     "requests that wait for a thread at a stop are answered", "[http_server]")
