Test peer links and forwarded requests at a stop

No test covered replies that are queued for a peer when its link stops, nor a forwarded sub-request whose VM stops without a reply. Both hold: the queued messages arrive, and the sub-request ends as unreachable with an unknown outcome.

--- a/tests/test_dispatcher.cpp
+++ b/tests/test_dispatcher.cpp
@@ -9,6 +9,17 @@
 namespace
 {
 
+/// Transport that accepts each message and delivers none.
+class silent_peers : public peer_transport
+{
+public:
+    bool
+    send(const vm_identity&, const peer_message&) override
+    {
+        return true;
+    }
+};
+
 /// A sub_batch message of vm-2 with one non-idempotent sub-request.
 peer_message
 batch_message(std::uint64_t incarnation, std::uint64_t id)
@@ -63,3 +74,33 @@
     f.dispatch.on_message(message);
     CHECK(f.sink.submitted.empty());
 }
+
+// Guards against a query that never hears of a sub-request whose VM has
+// stopped.
+TEST_CASE(
+    "a sub-request forwarded to a lost VM ends as unknown", "[dispatcher]")
+{
+    dispatcher_fixture f;
+    silent_peers peers;
+    dispatcher dispatch{f.owners, f.sink, peers, f.counters,
+        {"vm-1", "z", "", 1},
+        [](const std::string&) { return target_handle{0}; }, false};
+    f.owners.set(std::make_shared<owner_map>(
+        owner_map{{{"vm-1", "z", "", 1}, {"vm-2", "z", "", 1}}, {vm_handle{1}},
+            vm_handle{0}}));
+    sub_request request;
+    request.id = dispatch.next_id();
+    request.target = target_handle{0};
+    request.deadline = monotonic_clock::now() + 5s;
+    std::vector<sub_reply> replies;
+    dispatch.submit({request},
+        [&](sub_reply reply) { replies.push_back(std::move(reply)); });
+    CHECK(replies.empty());
+    dispatch.on_peer_lost("vm-2");
+    REQUIRE(replies.size() == 1);
+    CHECK(replies[0].id == request.id);
+    CHECK(replies[0].error == miss_reason::unreachable);
+    CHECK(replies[0].run == run_state::unknown);
+    dispatch.on_peer_lost("vm-2");
+    CHECK(replies.size() == 1);
+}
--- a/tests/test_peer_link.cpp
+++ b/tests/test_peer_link.cpp
@@ -25,6 +25,8 @@
 
 // Upper bound of every wait. No test depends on the actual duration.
 constexpr auto wait_limit = std::chrono::seconds(30);
+constexpr std::size_t reply_count = 20;
+constexpr std::size_t reply_bytes = 100'000;
 
 template <class Condition>
 bool
@@ -106,7 +108,7 @@
         const std::unique_ptr<X509, decltype(&X509_free)> certificate(
             make_certificate(name, key.get(), signer == "own" ? this : nullptr),
             X509_free);
-        const tls_files files{
+        tls_files files{
             path(name + ".pem"), path(name + ".key"), path("ca.pem")};
         write_certificate(files.certificate_file, certificate.get());
         FILE* file = std::fopen(files.key_file.c_str(), "w");
@@ -191,6 +193,22 @@
         b.link.stats().received[type].bytes == a.link.stats().sent[type].bytes);
 }
 
+// Guards against a stop that drops replies which are queued for a peer.
+TEST_CASE("messages sent before a stop arrive", "[peer_link]")
+{
+    node a("a");
+    node b("b");
+    REQUIRE(a.send_eventually(b.link.self(), {{"n", 0}}));
+    const std::string reply(reply_bytes, 'r');
+    for (std::size_t n = 1; n < reply_count; ++n)
+    {
+        REQUIRE(a.try_send(b.link.self(), {{"n", n}, {"reply", reply}}));
+    }
+    a.link.stop();
+    REQUIRE(eventually([&] { return b.link.stats().open_links == 0; }));
+    CHECK(b.received() == reply_count);
+}
+
 // Guards against replies that need a second connection, back to the sender.
 TEST_CASE("a reply goes over the incoming connection", "[peer_link]")
 {
