End a stop of the HTTP server while callers keep sending

What operators saw: in a trial, a daemon under load from 28 connections that ignored its refusals did not end within a minute of SIGTERM. Cause: since a stop waits for a time at which no request runs. Requests whose bodies arrive slowly overlap, so that time may never come. Evidence: the new test fails without the change. Change: a stop waits only for the requests that began before it, serves for stop_idle_timeout, then refuses further requests as not_run before it reads their bodies, and ends once nothing runs.

--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -1,6 +1,7 @@
 #include "http_server.hpp"
 
 #include "config.hpp"
+#include "problem.hpp"
 
 #include <civetweb.h>
 
@@ -183,10 +184,9 @@
     enum class phase
     {
         serving,
-        finishing, ///< stopping, until no request runs
-        settling,  ///< serves what had arrived before
-        closing,   ///< until no request runs
-        closed,    ///< no further request runs
+        finishing, ///< stopping; further requests are served
+        closing,   ///< further requests are refused, before their body is read
+        closed,    ///< further requests neither run nor get a response
         count
     };
 
@@ -194,9 +194,10 @@
     std::size_t max_body_bytes = 0;
     mg_context* context = nullptr;
     std::mutex mutex;
-    std::condition_variable phase_changed;
-    std::size_t running = 0; ///< requests without a complete response
+    std::condition_variable request_ended;
     phase current = phase::serving;
+    /// Requests without a complete response, by the phase in which they began.
+    std::array<std::size_t, static_cast<std::size_t>(phase::count)> running{};
 
     static int
     on_request(mg_connection* conn, void* self)
@@ -207,17 +208,24 @@
     int
     handle(mg_connection* conn)
     {
-        if (!begin_request())
+        const phase begun = begin_request();
+        if (begun == phase::closed)
         {
             return status_not_handled;
         }
-        const int status = respond(conn);
-        end_request();
-        return status;
+        server_response response =
+            begun == phase::closing
+                ? make_problem(problem_code::stopping, run_state::not_run,
+                      "send the request to another VM")
+                : run_handler(conn);
+        response.close_connection = response.close_connection || is_stopping();
+        write_response(conn, response);
+        end_request(begun);
+        return response.status;
     }
 
-    int
-    respond(mg_connection* conn)
+    server_response
+    run_handler(mg_connection* conn) const
     {
         const mg_request_info* info = mg_get_request_info(conn);
         server_request request = to_server_request(*info);
@@ -225,30 +233,18 @@
                                      ? read_body(conn, info->content_length,
                                            max_body_bytes, request.body)
                                      : body_result::incomplete;
-        server_response response =
-            body == body_result::ok ? handler(request)
-                                    : body_error_response(body, max_body_bytes);
-        response.close_connection = response.close_connection || is_stopping();
-        write_response(conn, response);
-        return response.status;
+        return body == body_result::ok
+                   ? handler(request)
+                   : body_error_response(body, max_body_bytes);
     }
 
-    /// Returns false if the server no longer writes responses. The request must
-    /// then not run.
-    bool
+    phase
     begin_request()
     {
         const std::lock_guard<std::mutex> lock(mutex);
-        running += current == phase::closed ? 0 : 1;
-        return current != phase::closed;
-    }
-
-    void
-    end_request()
-    {
-        const std::lock_guard<std::mutex> lock(mutex);
-        --running;
-        advance_if_idle();
+        running[static_cast<std::size_t>(current)] +=
+            current == phase::closed ? 0 : 1;
+        return current;
     }
 
     bool
@@ -258,39 +254,40 @@
         return current != phase::serving;
     }
 
-    /// Requires `mutex`. Decides here rather than in the waiting thread, which
-    /// could find the next request running each time it wakes up.
     void
-    advance_if_idle()
+    end_request(phase begun)
     {
-        if (running != 0)
-        {
-            return;
-        }
-        current = current == phase::finishing ? phase::settling
-                  : current == phase::closing ? phase::closed
-                                              : current;
-        phase_changed.notify_all();
+        const std::lock_guard<std::mutex> lock(mutex);
+        --running[static_cast<std::size_t>(begun)];
+        close_if_idle();
+        request_ended.notify_all();
     }
 
-    /// Enters `next` and waits until it ends because no request runs.
+    /// Requires `mutex`. Called where a request ends, since the waiting thread
+    /// could find the next one running each time it wakes up.
     void
-    run_phase(phase next)
+    close_if_idle()
     {
-        std::unique_lock<std::mutex> lock(mutex);
-        current = next;
-        advance_if_idle();
-        phase_changed.wait(lock, [this, next] { return current != next; });
+        const bool idle = std::all_of(running.begin(), running.end(),
+            [](std::size_t requests) { return requests == 0; });
+        current = current == phase::closing && idle ? phase::closed : current;
     }
 
     /// CivetWeb does not tell which connections wait for a thread or have an
-    /// unread request, so a stop serves them for a fixed time.
+    /// unread request, so a stop serves them for a fixed time. Callers that
+    /// keep sending do not delay it.
     void
     drain()
     {
-        run_phase(phase::finishing);
+        std::unique_lock<std::mutex> lock(mutex);
+        current = phase::finishing;
+        request_ended.wait(lock, [this] { return running.front() == 0; });
+        lock.unlock();
         std::this_thread::sleep_for(config::stop_idle_timeout);
-        run_phase(phase::closing);
+        lock.lock();
+        current = phase::closing;
+        close_if_idle();
+        request_ended.wait(lock, [this] { return current == phase::closed; });
     }
 };
 
--- a/tests/test_http_server.cpp
+++ b/tests/test_http_server.cpp
@@ -462,3 +462,29 @@
     c.write(post_text("4", "good"));
     CHECK(c.read_all().find("echo good") != std::string::npos);
 }
+
+// Guards against a stop that lasts for as long as callers send requests.
+TEST_CASE("requests sent during a stop do not delay it", "[http_server]")
+{
+    holding_server s;
+    s.release();
+    const connection first(s.port);
+    first.write(post_text("4", "go"));
+    std::this_thread::sleep_for(head_start);
+    s.begin_stop();
+    const connection second(s.port);
+    second.write(post_text("4", "go"));
+    std::this_thread::sleep_for(head_start);
+    first.write("od");
+    CHECK(first.read_all().find("echo good") != std::string::npos);
+    std::string answer;
+    do
+    {
+        const connection further(s.port);
+        further.write(post_text("4", "late"));
+        answer = further.read_all();
+    } while (answer.find("echo late") != std::string::npos);
+    CHECK(answer.find(R"("run":"not_run")") != std::string::npos);
+    second.write("od");
+    CHECK(second.read_all().find("echo good") != std::string::npos);
+}
