--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -1,11 +1,17 @@
 #include "http_server.hpp"
 
+#include "config.hpp"
+#include "problem.hpp"
+
 #include <civetweb.h>
 
 #include <algorithm>
 #include <array>
 #include <cctype>
+#include <condition_variable>
+#include <mutex>
 #include <stdexcept>
+#include <thread>
 
 namespace bramleymux
 {
@@ -16,6 +22,7 @@
 constexpr const char* idle_timeout_ms = "30000";
 constexpr const char* request_timeout_ms = "10000";
 constexpr std::size_t read_chunk_bytes = 16384;
+constexpr int status_not_handled = 503; // for CivetWeb only, not written
 
 std::string
 lower_case(std::string text)
@@ -173,9 +180,24 @@
 
 struct http_server::impl
 {
+    /// From `finishing` on, each response closes its connection.
+    enum class phase
+    {
+        serving,
+        finishing, ///< stopping; further requests are served
+        closing,   ///< further requests are refused, before their body is read
+        closed,    ///< further requests neither run nor get a response
+        count
+    };
+
     server_handler handler;
     std::size_t max_body_bytes = 0;
     mg_context* context = nullptr;
+    std::mutex mutex;
+    std::condition_variable request_ended;
+    phase current = phase::serving;
+    /// Requests without a complete response, by the phase in which they began.
+    std::array<std::size_t, static_cast<std::size_t>(phase::count)> running{};
 
     static int
     on_request(mg_connection* conn, void* self)
@@ -184,7 +206,26 @@
     }
 
     int
-    handle(mg_connection* conn) const
+    handle(mg_connection* conn)
+    {
+        const phase begun = begin_request();
+        if (begun == phase::closed)
+        {
+            return status_not_handled;
+        }
+        server_response response =
+            begun == phase::closing
+                ? make_problem(problem_code::stopping, run_state::not_run,
+                      "send the request to another VM")
+                : run_handler(conn);
+        response.close_connection = response.close_connection || is_stopping();
+        write_response(conn, response);
+        end_request(begun);
+        return response.status;
+    }
+
+    server_response
+    run_handler(mg_connection* conn) const
     {
         const mg_request_info* info = mg_get_request_info(conn);
         server_request request = to_server_request(*info);
@@ -192,11 +233,61 @@
                                      ? read_body(conn, info->content_length,
                                            max_body_bytes, request.body)
                                      : body_result::incomplete;
-        const server_response response =
-            body == body_result::ok ? handler(request)
-                                    : body_error_response(body, max_body_bytes);
-        write_response(conn, response);
-        return response.status;
+        return body == body_result::ok
+                   ? handler(request)
+                   : body_error_response(body, max_body_bytes);
+    }
+
+    phase
+    begin_request()
+    {
+        const std::lock_guard<std::mutex> lock(mutex);
+        running[static_cast<std::size_t>(current)] +=
+            current == phase::closed ? 0 : 1;
+        return current;
+    }
+
+    bool
+    is_stopping()
+    {
+        const std::lock_guard<std::mutex> lock(mutex);
+        return current != phase::serving;
+    }
+
+    void
+    end_request(phase begun)
+    {
+        const std::lock_guard<std::mutex> lock(mutex);
+        --running[static_cast<std::size_t>(begun)];
+        close_if_idle();
+        request_ended.notify_all();
+    }
+
+    /// Requires `mutex`. Called where a request ends, since the waiting thread
+    /// could find the next one running each time it wakes up.
+    void
+    close_if_idle()
+    {
+        const bool idle = std::all_of(running.begin(), running.end(),
+            [](std::size_t requests) { return requests == 0; });
+        current = current == phase::closing && idle ? phase::closed : current;
+    }
+
+    /// CivetWeb does not tell which connections wait for a thread or have an
+    /// unread request, so a stop serves them for a fixed time. Callers that
+    /// keep sending do not delay it.
+    void
+    drain()
+    {
+        std::unique_lock<std::mutex> lock(mutex);
+        current = phase::finishing;
+        request_ended.wait(lock, [this] { return running.front() == 0; });
+        lock.unlock();
+        std::this_thread::sleep_for(config::stop_idle_timeout);
+        lock.lock();
+        current = phase::closing;
+        close_if_idle();
+        request_ended.wait(lock, [this] { return current == phase::closed; });
     }
 };
 
@@ -248,6 +339,8 @@
 {
     if (impl_->context != nullptr)
     {
+        // After the start of mg_stop, CivetWeb reads and writes nothing more.
+        impl_->drain();
         mg_stop(impl_->context);
         impl_->context = nullptr;
     }
--- a/src/http_server.hpp
+++ b/src/http_server.hpp
@@ -59,8 +59,10 @@
     http_server&
     operator=(const http_server&) = delete;
 
-    /// Waits for running requests, then closes all connections. Does nothing if
-    /// already stopped.
+    /// Waits until running requests, including those with a partly received
+    /// body, have their responses, serves connections that wait for
+    /// `config::stop_idle_timeout`, then closes all. Does nothing if already
+    /// stopped.
     void
     stop();
 
