Name the wait of a stop of bramleymuxd's HTTP servers

Cause: it shared a constant with the entry path's idle timeout, which went. Change: a constant of its own, with the same value.

--- a/src/config.hpp
+++ b/src/config.hpp
@@ -389,6 +389,9 @@
 // A stop closes idle connections this long before the process exits. Callers
 // that use theirs earlier are told by the answer, which cannot cross a request.
 inline constexpr auto stop_close_time = 1s;
+// A stop of an HTTP server of `bramleymuxd` serves waiting requests for this
+// time.
+inline constexpr auto http_stop_wait = 1s;
 
 // Share of a target's accepted connections that all VMs may use together.
 inline constexpr double target_connection_share = 0.9;
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -283,7 +283,7 @@
         current = phase::finishing;
         request_ended.wait(lock, [this] { return running.front() == 0; });
         lock.unlock();
-        std::this_thread::sleep_for(config::stop_idle_timeout);
+        std::this_thread::sleep_for(config::http_stop_wait);
         lock.lock();
         current = phase::closing;
         close_if_idle();
