Add a randomized soak of real entry processes

The lost request showed only with real processes, timers and sockets, which the unit tests and the fuzzing of decision modules do not have. bramleymux_soak runs three entry processes against a stand-in store, targets, load balancer and callers, applies a seeded schedule of signals and desired states, and judges each request from what its caller and the targets saw.

--- a/Makefile
+++ b/Makefile
@@ -3,8 +3,9 @@
 JOBS ?= $(shell nproc)
 SEED ?= 1
 RUNS ?= 200
+SECONDS ?= 30
 
-.PHONY: help deps build test golden demo bench fuzz format check-format tidy \
+.PHONY: help deps build test golden demo bench fuzz soak format check-format tidy \
         test-asan test-tsan clean
 
 help:
@@ -51,6 +52,12 @@
 	@cmake --build $(BUILD) -j $(JOBS) --target bramleymux_fuzz
 	@FUZZ_SEED=$(SEED) FUZZ_RUNS=$(RUNS) $(BUILD)/bin/bramleymux_fuzz
 
+## soak          random faults on real entry processes (SEED, SECONDS)
+soak: deps
+	@cmake -S . -B $(BUILD) -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo >/dev/null
+	@cmake --build $(BUILD) -j $(JOBS) --target bramleymux_soak
+	@$(BUILD)/bin/bramleymux_soak --seed $(SEED) --seconds $(SECONDS)
+
 ## format        rewrite the sources with clang-format
 format:
 	@scripts/format.sh
--- /dev/null
+++ b/tests/soak/deployment.cpp
@@ -0,0 +1,128 @@
+#include "deployment.hpp"
+
+#include "attempt.hpp"
+
+#include <cstdlib>
+
+namespace bramleymux::soak
+{
+
+using nlohmann::json;
+
+namespace
+{
+
+constexpr const char* read_service = "reader";
+constexpr const char* write_service = "writer";
+constexpr const char* health_path = "/health";
+constexpr std::size_t changing_routes = 4;
+constexpr std::uint64_t slots = 32;
+constexpr std::uint64_t longest_reply_ms = 40;
+
+json
+route(const std::string& prefix, bool safe, const std::string& service,
+    std::uint64_t timeout_ms)
+{
+    return {{"name", prefix}, {"host", "soak.example"}, {"pathPrefix", prefix},
+        {"routeType", safe ? "safe" : "unsafe"}, {"timeoutMs", timeout_ms},
+        {"targetLatencyMs", timeout_ms}, {"service", service}, {"attempts", 2},
+        {"priority", 0}};
+}
+
+json
+service(const std::string& name)
+{
+    return {{"name", name}, {"healthPath", health_path},
+        {"maxConnections", 200}, {"warmupPerS", 1000}};
+}
+
+json
+desired_state_of(std::uint64_t version, const state_choice& state)
+{
+    json routes{route("/r/", true, read_service, state.route_timeout_ms),
+        route("/w/", false, write_service, state.route_timeout_ms)};
+    for (std::size_t i = 0; i < changing_routes; ++i)
+    {
+        if ((state.routes >> i & 1U) != 0)
+        {
+            routes.push_back(route("/x" + std::to_string(i) + "/", true,
+                read_service, state.route_timeout_ms));
+        }
+    }
+    return {{"version", version}, {"routes", std::move(routes)},
+        {"services", {service(read_service), service(write_service)}},
+        {"limits", {{"maxHeaderBytes", 8192}, {"maxBodyBytes", 65536},
+                       {"headerTimeoutMs", 2000},
+                       {"idleTimeoutMs", state.idle_timeout_ms}}}};
+}
+
+} // namespace
+
+deployment::deployment(boost::asio::io_context& loop, std::uint64_t seed,
+    const std::vector<std::string>& zones)
+    : store(loop), random_(seed)
+{
+    for (const std::string& zone : zones)
+    {
+        add_target(loop, read_service, zone);
+        add_target(loop, write_service, zone);
+    }
+    add_target(loop, read_service, zones.front());
+    set_state({});
+}
+
+void
+deployment::set_state(const state_choice& state)
+{
+    state_ = state;
+    constexpr std::uint64_t longest_step = 3;
+    version_ +=
+        std::uniform_int_distribution<std::uint64_t>(1, longest_step)(random_);
+    store.put("config", "main", desired_state_of(version_, state));
+}
+
+void
+deployment::add_target(boost::asio::io_context& loop,
+    const std::string& service, const std::string& zone)
+{
+    const std::string id = "i-" + std::to_string(targets_.size());
+    targets_.push_back(std::make_unique<fixture::stand_in_target>(loop, id,
+        [this, id, n = targets_.size()](const parsed_request& request)
+        {
+            targets_[n]->received.clear();
+            return serve(id, request);
+        }));
+    store.put("servers", id,
+        {{"service", service}, {"address", targets_.back()->address()},
+            {"zone", zone}, {"version", "v1"}, {"slots", slots},
+            {"state", "ready"}, {"warmupLeftMs", 0}, {"sequence", 1},
+            {"born", 1700000000000}});
+}
+
+fixture::scripted_reply
+deployment::serve(const std::string& target, const parsed_request& request)
+{
+    if (request.path == health_path)
+    {
+        return {
+            fixture::http_text(200, "X-Instance-Id: " + target + "\r\n", "")};
+    }
+    const std::uint64_t id = std::strtoull(
+        fixture::header_value(request, "X-Request-Id").c_str(), nullptr, 10);
+    ++runs_[id];
+    auto reply =
+        fixture::good(request, target + "." + std::to_string(id), body_of(id));
+    reply.wait =
+        std::chrono::milliseconds(std::uniform_int_distribution<std::uint64_t>(
+            1, longest_reply_ms)(random_));
+    return reply;
+}
+
+std::uint32_t
+deployment::runs(std::uint64_t request) const
+{
+    const auto found = runs_.find(request);
+    return found == runs_.end() ? 0 : found->second;
+}
+
+} // namespace bramleymux::soak
--- /dev/null
+++ b/tests/soak/deployment.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "schedule.hpp"
+#include "stand_in_target.hpp"
+#include "store.hpp"
+
+#include <memory>
+#include <random>
+#include <unordered_map>
+#include <vector>
+
+namespace bramleymux::soak
+{
+
+/// Writes desired states and registers stand-in targets in the store. Counts
+/// how many times each request reaches a target.
+class deployment
+{
+public:
+    deployment(boost::asio::io_context& loop, std::uint64_t seed,
+        const std::vector<std::string>& zones);
+
+    /// Writes the next version of the desired state.
+    void
+    set_state(const state_choice& state);
+
+    const state_choice&
+    state() const
+    {
+        return state_;
+    }
+
+    std::uint32_t
+    runs(std::uint64_t request) const;
+
+    stand_in_store store;
+
+private:
+    void
+    add_target(boost::asio::io_context& loop, const std::string& service,
+        const std::string& zone);
+    fixture::scripted_reply
+    serve(const std::string& target, const parsed_request& request);
+
+    std::mt19937_64 random_;
+    state_choice state_;
+    std::uint64_t version_ = 0;
+    std::unordered_map<std::uint64_t, std::uint32_t> runs_;
+    std::vector<std::unique_ptr<fixture::stand_in_target>> targets_;
+};
+
+} // namespace bramleymux::soak
--- /dev/null
+++ b/tests/soak/schedule.hpp
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <bramleymux/types.hpp>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace bramleymux::soak
+{
+
+enum class fault_kind
+{
+    new_state, ///< another desired state
+    hang_up,   ///< SIGHUP
+    pause,     ///< SIGSTOP, then SIGCONT
+    terminate, ///< SIGTERM, and a restart after the exit
+    kill,      ///< SIGKILL, and a restart
+    count
+};
+
+constexpr const char* fault_names[] = {
+    "new_state", "hang_up", "pause", "terminate", "kill"};
+
+/// What a desired state varies.
+struct state_choice
+{
+    std::uint64_t idle_timeout_ms = 3000;
+    std::uint64_t route_timeout_ms = 2000;
+    std::uint64_t routes = 0; ///< bit N set: route /xN/ exists
+};
+
+struct planned_fault
+{
+    duration at{}; ///< since the start
+    fault_kind kind = fault_kind::new_state;
+    std::size_t vm = 0;
+    duration length{};    ///< of a pause, or the delay of a restart
+    state_choice state{}; ///< of a new state
+};
+
+/// Returns the faults of a run in order of time. The same arguments give the
+/// same faults.
+std::vector<planned_fault>
+make_schedule(std::uint64_t seed, duration length, std::size_t vms);
+
+std::string
+describe(const state_choice& state);
+
+} // namespace bramleymux::soak
--- /dev/null
+++ b/tests/soak/soak_run.cpp
@@ -0,0 +1,282 @@
+#include "soak_run.hpp"
+
+#include "stream_socket.hpp"
+
+#include <algorithm>
+
+namespace bramleymux::soak
+{
+
+using boost::system::error_code;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+// On loopback addresses that are reserved for this program.
+const std::vector<vm_place> places{{"vm-1-1", "north", "127.3.1.1"},
+    {"vm-1-2", "north", "127.3.1.2"}, {"vm-2-1", "south", "127.3.2.1"}};
+
+// The VMs have adopted the first desired state and reached the targets by then.
+constexpr auto warm_up = 3s;
+constexpr auto tick_period = 5ms;
+// A tick that is later by more than this counts as a stall of this process.
+constexpr auto longest_tick = 20ms;
+// A target sees a request at the latest this long after its end at the caller.
+constexpr auto settle_time = 1500ms;
+// A process that is younger may not have installed its signal handlers.
+constexpr auto signal_age = 2500ms;
+
+} // namespace
+
+soak_run::soak_run(const soak_options& options)
+    : options_(options), journal_(monotonic_clock::now()), report_(journal_),
+      deployment_(loop_, options.seed, {"north", "south"}),
+      restart_delays_(places.size()),
+      schedule_(make_schedule(
+          options.seed, std::chrono::seconds(options.seconds), places.size())),
+      start_(monotonic_clock::now() + warm_up),
+      last_tick_(monotonic_clock::now())
+{
+    std::vector<std::string> readiness;
+    for (const vm_place& place : places)
+    {
+        vms_.push_back(std::make_unique<vm_process>(place, options.program,
+            options.directory, deployment_.store.address(), journal_));
+        readiness.push_back(place.readiness_address());
+        world_.vms.push_back(*parse_endpoint(place.caller_address()));
+    }
+    balancer_ = std::make_unique<balancer>(loop_, readiness);
+    world_.choose_vm = [this](std::mt19937_64& random)
+    { return balancer_->choose(random); };
+    world_.idle_timeout = [this]() -> duration
+    { return std::chrono::milliseconds(deployment_.state().idle_timeout_ms); };
+    world_.next_id = [this] { return ++last_id_; };
+    world_.on_end = [this](const attempt& a) { unjudged_.push_back(a); };
+}
+
+const report&
+soak_run::run()
+{
+    for (const auto& vm : vms_)
+    {
+        if (!vm->start())
+        {
+            report_.add_fault(vm->place.id + " cannot be started");
+            return report_;
+        }
+    }
+    tick();
+    start_callers();
+    await_next_fault();
+    loop_.run();
+    judge_until(monotonic_time::max());
+    return report_;
+}
+
+void
+soak_run::start_callers()
+{
+    for (std::size_t i = 0; i < options_.callers; ++i)
+    {
+        callers_.push_back(
+            std::make_unique<caller>(loop_, i, options_.seed, world_));
+    }
+    const auto timer = std::make_shared<boost::asio::steady_timer>(loop_);
+    timer->expires_at(start_);
+    timer->async_wait(
+        [this, timer](error_code)
+        {
+            for (const auto& c : callers_)
+            {
+                c->start();
+            }
+        });
+}
+
+void
+soak_run::await_next_fault()
+{
+    const bool last = next_fault_ == schedule_.size();
+    fault_timer_.expires_at(
+        start_ + (last ? duration(std::chrono::seconds(options_.seconds))
+                       : schedule_[next_fault_].at));
+    fault_timer_.async_wait(
+        [this, last](error_code)
+        {
+            if (last)
+            {
+                ending_ = true;
+                return;
+            }
+            apply(schedule_[next_fault_++]);
+            await_next_fault();
+        });
+}
+
+void
+soak_run::apply(const planned_fault& fault)
+{
+    if (fault.kind != fault_kind::new_state)
+    {
+        report_.count_fault(fault.kind, apply_to_vm(fault));
+        return;
+    }
+    journal_.note("", "new state: " + describe(fault.state));
+    deployment_.set_state(fault.state);
+    report_.count_fault(fault.kind, true);
+}
+
+bool
+soak_run::takes_signals(std::size_t vm) const
+{
+    return vms_[vm]->is_in_service() && balancer_->is_ready(vm) &&
+           monotonic_clock::now() - vms_[vm]->started_at() > signal_age;
+}
+
+/// Returns false if the state of the VM does not allow the fault.
+bool
+soak_run::apply_to_vm(const planned_fault& fault)
+{
+    vm_process& vm = *vms_[fault.vm];
+    const bool allowed =
+        fault.kind == fault_kind::pause ? vm.is_running() && !vm.is_stopped()
+        : fault.kind == fault_kind::kill
+            ? vm.is_running()
+            : takes_signals(fault.vm) && (fault.kind == fault_kind::hang_up ||
+                                             balancer_->in_rotation() > 1);
+    if (!allowed)
+    {
+        return false;
+    }
+    if (fault.kind == fault_kind::pause)
+    {
+        pause(fault);
+        return true;
+    }
+    if (fault.kind == fault_kind::hang_up)
+    {
+        vm.reload();
+        return true;
+    }
+    restart_delays_[fault.vm] = fault.length;
+    fault.kind == fault_kind::kill ? vm.kill() : vm.terminate();
+    return true;
+}
+
+void
+soak_run::pause(const planned_fault& fault)
+{
+    vms_[fault.vm]->set_stopped(true);
+    const auto timer = std::make_shared<boost::asio::steady_timer>(loop_);
+    timer->expires_after(fault.length);
+    timer->async_wait([this, timer, vm = fault.vm](error_code)
+        { vms_[vm]->set_stopped(false); });
+}
+
+void
+soak_run::tick()
+{
+    const monotonic_time now = monotonic_clock::now();
+    measure_lag(now);
+    check_vms(now);
+    judge_until(now - settle_time);
+    if (ending_)
+    {
+        end_run();
+    }
+    tick_timer_.expires_after(tick_period);
+    tick_timer_.async_wait(
+        [this](error_code error)
+        {
+            if (!error)
+            {
+                tick();
+            }
+        });
+}
+
+void
+soak_run::measure_lag(monotonic_time now)
+{
+    if (now - last_tick_ > longest_tick)
+    {
+        lags_.push_back({last_tick_, now});
+    }
+    last_tick_ = now;
+}
+
+void
+soak_run::check_vms(monotonic_time now)
+{
+    for (std::size_t i = 0; i < vms_.size(); ++i)
+    {
+        const std::string fault = vms_[i]->check();
+        if (!fault.empty())
+        {
+            report_.add_fault(vms_[i]->place.id + " " + fault + "\n" +
+                              journal_.around({now, now}));
+        }
+        if (!ending_ && !vms_[i]->is_running() &&
+            now - vms_[i]->exited_at() >= restart_delays_[i])
+        {
+            vms_[i]->start();
+        }
+    }
+}
+
+/// Stops the VMs while callers still use them, then the callers.
+void
+soak_run::end_run()
+{
+    bool running = false;
+    for (const auto& vm : vms_)
+    {
+        running = running || vm->is_running();
+        if (vm->is_in_service() &&
+            monotonic_clock::now() - vm->started_at() > signal_age)
+        {
+            vm->terminate();
+        }
+    }
+    if (running)
+    {
+        return;
+    }
+    bool stopped = true;
+    for (const auto& c : callers_)
+    {
+        c->stop();
+        stopped = stopped && c->is_stopped();
+    }
+    if (stopped)
+    {
+        loop_.stop();
+    }
+}
+
+/// Judges the requests that ended before `limit`, so that targets have seen
+/// those that reach them.
+void
+soak_run::judge_until(monotonic_time limit)
+{
+    while (!unjudged_.empty() && unjudged_.front().ended_at < limit)
+    {
+        const attempt& a = unjudged_.front();
+        const evidence known = evidence_of(a);
+        report_.add(a, known, judge(a, known), vms_[a.vm]->place.id);
+        unjudged_.pop_front();
+    }
+}
+
+evidence
+soak_run::evidence_of(const attempt& a) const
+{
+    const interval span{a.sent_at, a.ended_at};
+    std::vector<interval> stalls = vms_[a.vm]->stops();
+    stalls.insert(stalls.end(), lags_.begin(), lags_.end());
+    return {deployment_.runs(a.id), vms_[a.vm]->was_killed_within(span),
+        covered_time(std::move(stalls), span)};
+}
+
+} // namespace bramleymux::soak
--- /dev/null
+++ b/tests/soak/soak_run.hpp
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "balancer.hpp"
+#include "caller.hpp"
+#include "deployment.hpp"
+#include "report.hpp"
+#include "vm_process.hpp"
+
+#include <deque>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace bramleymux::soak
+{
+
+struct soak_options
+{
+    std::uint64_t seed = 1;
+    std::uint64_t seconds = 30;
+    std::size_t callers = 60;
+    std::string program;   ///< the entry program
+    std::string directory; ///< for settings and logs of the VMs
+};
+
+/// Runs the VMs, the platform around them, the callers and the schedule on one
+/// event loop.
+class soak_run
+{
+public:
+    explicit soak_run(const soak_options& options);
+
+    /// Returns the report after the last process and caller have ended.
+    const report&
+    run();
+
+private:
+    void
+    start_callers();
+    void
+    await_next_fault();
+    void
+    apply(const planned_fault& fault);
+    void
+    pause(const planned_fault& fault);
+    /// Returns whether the VM handles signals.
+    bool
+    takes_signals(std::size_t vm) const;
+    bool
+    apply_to_vm(const planned_fault& fault);
+    void
+    tick();
+    void
+    measure_lag(monotonic_time now);
+    void
+    check_vms(monotonic_time now);
+    void
+    end_run();
+    void
+    judge_until(monotonic_time limit);
+    evidence
+    evidence_of(const attempt& a) const;
+
+    soak_options options_;
+    boost::asio::io_context loop_{1};
+    journal journal_;
+    report report_;
+    deployment deployment_;
+    std::vector<std::unique_ptr<vm_process>> vms_;
+    std::vector<duration> restart_delays_;
+    std::unique_ptr<balancer> balancer_;
+    caller_world world_;
+    std::vector<std::unique_ptr<caller>> callers_;
+    std::vector<planned_fault> schedule_;
+    std::size_t next_fault_ = 0;
+    monotonic_time start_;
+    monotonic_time last_tick_;
+    std::vector<interval> lags_; ///< in which this process did not run
+    std::deque<attempt> unjudged_;
+    std::uint64_t last_id_ = 0;
+    bool ending_ = false;
+    boost::asio::steady_timer fault_timer_{loop_};
+    boost::asio::steady_timer tick_timer_{loop_};
+};
+
+} // namespace bramleymux::soak
