--- a/tests/soak/bramleymux_soak_main.cpp
+++ b/tests/soak/bramleymux_soak_main.cpp
@@ -42,6 +42,8 @@
     app.add_option("--callers", options.callers, "concurrent callers");
     app.add_option("--entry", options.program, "entry program")
         ->check(CLI::ExistingFile);
+    app.add_flag("--vms-stop-first", options.vms_stop_first,
+        "stop all VMs at the end while callers use them");
     CLI11_PARSE(app, argc, argv);
 
     std::signal(SIGPIPE, SIG_IGN);
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -19,6 +19,8 @@
     std::uint64_t seed = 1;
     std::uint64_t seconds = 30;
     std::size_t callers = 60;
+    /// At the end, stop all VMs at once while the callers still use them.
+    bool vms_stop_first = false;
     std::string program;   ///< the entry program
     std::string directory; ///< for settings and logs of the VMs
 };
@@ -56,6 +58,10 @@
     check_vms(monotonic_time now);
     void
     end_run();
+    bool
+    stop_vms();
+    bool
+    stop_callers();
     void
     judge_until(monotonic_time limit);
     evidence
