--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -2,7 +2,8 @@
 
 #include "stream_socket.hpp"
 
-#include <algorithm>
+#include <stdexcept>
+#include <unistd.h>
 
 namespace bramleymux::soak
 {
@@ -13,9 +14,10 @@
 namespace
 {
 
-// On loopback addresses that are reserved for this program.
-const std::vector<vm_place> places{{"vm-1-1", "north", "127.3.1.1"},
-    {"vm-1-2", "north", "127.3.1.2"}, {"vm-2-1", "south", "127.3.2.1"}};
+constexpr std::size_t vm_count = 3;
+// Runs on one machine use different blocks of 127.3.0.0/16.
+constexpr int address_blocks = 120;
+constexpr const char* block_lock_port = ".250:8080";
 
 // The VMs have adopted the first desired state and reached the targets by then.
 constexpr auto warm_up = 3s;
@@ -27,19 +29,34 @@
 // A process that is younger may not have installed its signal handlers.
 constexpr auto signal_age = 2500ms;
 
+std::string
+network(int block, int zone)
+{
+    return "127.3." + std::to_string(2 * block + zone);
+}
+
+std::vector<vm_place>
+places_in(int block)
+{
+    const std::string north = network(block, 1);
+    const std::string south = network(block, 2);
+    return {{"vm-1-1", "north", north + ".1"},
+        {"vm-1-2", "north", north + ".2"}, {"vm-2-1", "south", south + ".1"}};
+}
+
 } // namespace
 
 soak_run::soak_run(const soak_options& options)
     : options_(options), journal_(monotonic_clock::now()), report_(journal_),
       deployment_(loop_, options.seed, {"north", "south"}),
-      restart_delays_(places.size()),
+      restart_delays_(vm_count),
       schedule_(make_schedule(
-          options.seed, std::chrono::seconds(options.seconds), places.size())),
+          options.seed, std::chrono::seconds(options.seconds), vm_count)),
       start_(monotonic_clock::now() + warm_up),
       last_tick_(monotonic_clock::now())
 {
     std::vector<std::string> readiness;
-    for (const vm_place& place : places)
+    for (const vm_place& place : places_in(lock_address_block()))
     {
         vms_.push_back(std::make_unique<vm_process>(place, options.program,
             options.directory, deployment_.store.address(), journal_));
@@ -55,6 +72,28 @@
     world_.on_end = [this](const attempt& a) { unjudged_.push_back(a); };
 }
 
+/// Returns a block of addresses that no other run uses. Binding a port in it
+/// keeps it until this run ends.
+int
+soak_run::lock_address_block()
+{
+    for (int i = 0; i < address_blocks; ++i)
+    {
+        const int block = (::getpid() + i) % address_blocks;
+        const auto endpoint =
+            *parse_endpoint(network(block, 1) + block_lock_port);
+        error_code error;
+        block_lock_ = boost::asio::ip::tcp::acceptor(loop_);
+        block_lock_.open(endpoint.protocol(), error);
+        block_lock_.bind(endpoint, error);
+        if (!error)
+        {
+            return block;
+        }
+    }
+    throw std::runtime_error("no free block of loopback addresses");
+}
+
 const report&
 soak_run::run()
 {
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -37,6 +37,8 @@
     run();
 
 private:
+    int
+    lock_address_block();
     void
     start_callers();
     void
@@ -69,6 +71,7 @@
 
     soak_options options_;
     boost::asio::io_context loop_{1};
+    boost::asio::ip::tcp::acceptor block_lock_{loop_};
     journal journal_;
     report report_;
     deployment deployment_;
