--- a/scripts/run_tests.sh
+++ b/scripts/run_tests.sh
@@ -17,3 +17,8 @@
 export FUZZ_SEED=${FUZZ_SEED:-1} FUZZ_RUNS=${FUZZ_RUNS:-20}
 "$build/bin/bramleymux_tests" "~[.]" "${excluded[@]}"
 "$build/bin/bramleymux_fuzz" "~[.]" "${excluded[@]}"
+# The bounds of the soak have not been tried on the slower sanitized programs.
+if grep -q '^BRAMLEYMUX_SANITIZE:STRING=$' "$build/CMakeCache.txt"; then
+    "$build/bin/bramleymux_soak" --seed "${SOAK_SEED:-1}" \
+        --seconds "${SOAK_SECONDS:-30}"
+fi
