--- a/src/config.hpp
+++ b/src/config.hpp
@@ -389,9 +389,9 @@
 inline constexpr double announced_idle_share = 0.8;
 // A caller that reads nothing of its answer for this time loses the rest.
 inline constexpr auto write_stall_timeout = 10s;
-// A stop closes idle connections this long before the process exits. Callers
-// that use theirs earlier are told by the answer, which cannot cross a request.
-inline constexpr auto stop_close_time = 1s;
+// Idle timeout during a graceful stop. Longer than a caller takes to send the
+// first request on a new connection.
+inline constexpr auto stop_idle_timeout = 1s;
 // A stop of an HTTP server of `bramleymuxd` serves waiting requests for this
 // time.
 inline constexpr auto http_stop_wait = 1s;
--- a/src/entry_server.hpp
+++ b/src/entry_server.hpp
@@ -23,7 +23,7 @@
 /// is in or with an unknown outcome, and the process exits.
 struct stop_times
 {
-    duration close_idle_after = std::chrono::milliseconds(4500);
+    duration close_idle_after = std::chrono::milliseconds(2500);
     duration exit_after = std::chrono::milliseconds(5500);
 };
 
--- a/src/entry_server_stop.cpp
+++ b/src/entry_server_stop.cpp
@@ -1,3 +1,4 @@
+#include "config.hpp"
 #include "entry_server_state.hpp"
 #include "gather_job.hpp"
 
@@ -59,10 +60,10 @@
     }
     const bool closing =
         stopping_ && now - stop_started_at_ > times_.close_idle_after;
-    // A new connection gets as much time for its first request as that request
-    // gets until the exit.
-    const duration idle_timeout =
-        (times_.exit_after - times_.close_idle_after) / 2;
+    // With a short grace time, a new connection gets as much time for its first
+    // request as that request gets until the exit.
+    const auto idle_timeout = std::min<duration>(config::stop_idle_timeout,
+        (times_.exit_after - times_.close_idle_after) / 2);
     bool busy = false;
     for (auto it = connections_.begin(); it != connections_.end();)
     {
--- a/src/entry_settings.cpp
+++ b/src/entry_settings.cpp
@@ -145,8 +145,8 @@
         in_seconds(out.stop.exit_after + config::exit_margin), 0.5, max_time_s);
     out.stop.exit_after = std::max<duration>(
         seconds(grace_s) - config::exit_margin, seconds(grace_s / 2));
-    out.stop.close_idle_after = std::max<duration>(
-        out.stop.exit_after - config::stop_close_time, out.stop.exit_after / 2);
+    out.stop.close_idle_after =
+        std::min<duration>(out.stop.close_idle_after, out.stop.exit_after / 2);
     return out;
 }
 
