Log the rate limits that targets name

Sends do not depend on them yet. Replies of another process at the address no longer change what is known of a target.

--- a/src/config.hpp
+++ b/src/config.hpp
@@ -412,6 +412,8 @@
 inline constexpr double log_lines_per_second = 20.0;
 inline constexpr double log_lines_burst = 100.0;
 inline constexpr std::size_t max_pending_log_bytes = 256 * kib;
+// Period of the log lines on the rate of a target with a rate limit.
+inline constexpr auto rate_log_period = 1s;
 
 // Caller connections, until a desired state sets other values.
 inline constexpr std::size_t default_header_bytes = 16 * kib;
--- a/src/entry_wire.hpp
+++ b/src/entry_wire.hpp
@@ -36,6 +36,16 @@
     std::uint32_t slots = 0;   ///< requests that it can run at once
 };
 
+/// What a target asks of the VMs in its replies.
+struct target_notice
+{
+    /// Requests/s that it takes from all VMs together, while it says so.
+    std::optional<double> rate_limit;
+    /// Time in which it takes no request of this VM, stated with a rejection.
+    std::optional<duration> retry_after;
+    bool leaving = false; ///< it will stop soon
+};
+
 /// Reply of a target.
 struct target_reply
 {
@@ -47,6 +57,7 @@
     bool encoded = false;      ///< content-encoded: not the target's own bytes
     std::string target_id;     ///< reported by the replier; may be empty
     std::optional<target_load> load;
+    target_notice notice;
     std::optional<duration> cold_start_left; ///< as the target reports it
     std::optional<duration> idle_limit; ///< idle time before the target closes
     header_fields forwarded;            ///< end-to-end fields for the caller
--- a/src/log_events.cpp
+++ b/src/log_events.cpp
@@ -121,6 +121,14 @@
         {1610, level::warning, "request_dropped",
             "This VM closed a connection with a request or part of an answer "
             "outstanding."},
+        {1509, level::info, "target_rate_limit_changed",
+            "A target named a rate limit, another one, or no longer any."},
+        {1510, level::info, "target_rate",
+            "Requests that this VM sent to a target with a rate limit since "
+            "the last such line."},
+        {1511, level::info, "target_paused",
+            "A target rejected a request and takes none of this VM for a "
+            "time."},
     }};
 
 spdlog::level::level_enum
--- a/src/log_events.hpp
+++ b/src/log_events.hpp
@@ -67,6 +67,9 @@
     delegate_lost,
     delegate_regained,
     request_dropped,
+    target_rate_limit_changed,
+    target_rate,
+    target_paused,
     count
 };
 
--- a/src/target_choice.cpp
+++ b/src/target_choice.cpp
@@ -199,6 +199,21 @@
     target.load_at = now;
 }
 
+bool
+record_rate_limit(target_state& target, const target_notice& notice,
+    monotonic_time sent_at, monotonic_time now)
+{
+    const bool outdated = !notice.rate_limit && sent_at <= target.rate_limit_at;
+    if (outdated || (!notice.rate_limit && !target.rate_limit))
+    {
+        return false;
+    }
+    const bool changed = target.rate_limit != notice.rate_limit;
+    target.rate_limit = notice.rate_limit;
+    target.rate_limit_at = notice.rate_limit ? now : target.rate_limit_at;
+    return changed;
+}
+
 void
 record_recovered(target_state& target)
 {
--- a/src/target_choice.hpp
+++ b/src/target_choice.hpp
@@ -51,6 +51,10 @@
 
     /// Earliest next request of this VM while the target is cold.
     monotonic_time cold_next{};
+
+    /// Requests/s of all VMs together, as the target names it; none = any.
+    std::optional<double> rate_limit;
+    monotonic_time rate_limit_at{}; ///< last reply that named it
 };
 
 enum class send_outcome
@@ -87,6 +91,13 @@
 void
 record_load(target_state& target, const target_load& load, monotonic_time now);
 
+/// Updates the rate limit from a reply to a request sent at `sent_at`. A reply
+/// without one ends the limit, unless the request was sent before the target
+/// last named it. Returns whether the limit changed.
+bool
+record_rate_limit(target_state& target, const target_notice& notice,
+    monotonic_time sent_at, monotonic_time now);
+
 /// Unblocks the target after a successful health probe.
 void
 record_recovered(target_state& target);
--- a/src/target_pool.cpp
+++ b/src/target_pool.cpp
@@ -427,6 +427,7 @@
     pending.order = std::move(order);
     pending.since = now;
     record_sent(target, id, pending.order.expected, now);
+    ++e.sent_since_rate_log;
     spend_cold_allowance(target, context_of(e.service));
     metrics_.add(counter::sub_requests);
     if (const auto idle = idle_link(e))
@@ -490,7 +491,8 @@
     const auto found = sends_.find(id);
     if (found != sends_.end())
     {
-        record_reply(*found->second.target, result.reply);
+        record_reply(
+            *found->second.target, result.reply, found->second.since);
     }
     const send_outcome outcome = outcome_of(result.reply);
     const bool denied =
@@ -498,25 +500,6 @@
     finish(id, outcome, !denied, std::move(result.reply));
 }
 
-void
-target_pool::record_reply(entry& e, const target_reply& reply)
-{
-    const monotonic_time now = monotonic_clock::now();
-    if (e.state.record.zone != options_.zone)
-    {
-        last_other_zone_reply_at_ = now;
-    }
-    if (reply.load)
-    {
-        record_load(e.state, *reply.load, now);
-    }
-    if (reply.cold_start_left && !reply.wrong_target)
-    {
-        record_cold_start(
-            e.state, *reply.cold_start_left, context_of(e.service), random_);
-    }
-}
-
 void
 target_pool::finish(
     send_id id, send_outcome outcome, bool may_have_run, target_reply&& reply)
--- a/src/target_pool.hpp
+++ b/src/target_pool.hpp
@@ -249,8 +249,15 @@
     void
     count_version(entry& e, send_outcome outcome, duration took,
         duration expected, monotonic_time now);
+    /// Updates what this VM knows of a target from a reply to a request or
+    /// probe sent at `sent_at`.
     void
-    record_reply(entry& e, const target_reply& reply);
+    record_reply(entry& e, const target_reply& reply, monotonic_time sent_at);
+    void
+    record_notice(
+        entry& e, const target_notice& notice, monotonic_time sent_at);
+    void
+    log_rate(entry& e, monotonic_time now);
     void
     probe(entry& e);
     void
--- /dev/null
+++ b/src/target_pool_reply.cpp
@@ -0,0 +1,85 @@
+#include "config.hpp"
+#include "target_pool_state.hpp"
+
+/// What target_pool learns from the replies of its targets.
+namespace bramleymux
+{
+
+void
+target_pool::record_reply(
+    entry& e, const target_reply& reply, monotonic_time sent_at)
+{
+    const monotonic_time now = monotonic_clock::now();
+    if (e.state.record.zone != options_.zone)
+    {
+        last_other_zone_reply_at_ = now;
+    }
+    if (reply.wrong_target)
+    {
+        return;
+    }
+    if (reply.load)
+    {
+        record_load(e.state, *reply.load, now);
+    }
+    if (reply.cold_start_left)
+    {
+        record_cold_start(
+            e.state, *reply.cold_start_left, context_of(e.service), random_);
+    }
+    record_notice(e, reply.notice, sent_at);
+}
+
+void
+target_pool::record_notice(
+    entry& e, const target_notice& notice, monotonic_time sent_at)
+{
+    const monotonic_time now = monotonic_clock::now();
+    const bool changed = record_rate_limit(e.state, notice, sent_at, now);
+    if (changed && log_.try_admit(event::target_rate_limit_changed, now))
+    {
+        log_.write(event::target_rate_limit_changed,
+            {{"target", e.state.record.id}, {"service", e.state.record.service},
+                {"limited", e.state.rate_limit.has_value()},
+                {"rate_limit", e.state.rate_limit.value_or(0.0)},
+                {"vms", vms_.total}});
+    }
+    if (notice.retry_after && log_.try_admit(event::target_paused, now))
+    {
+        log_.write(event::target_paused,
+            {{"target", e.state.record.id}, {"service", e.state.record.service},
+                {"retry_after_ms", to_milliseconds(*notice.retry_after)}});
+    }
+    if (notice.leaving && !e.state.record.leaving)
+    {
+        log_target(event::target_draining, e, "reply");
+    }
+}
+
+/// Logs how many requests this VM sends to a target with a rate limit.
+void
+target_pool::log_rate(entry& e, monotonic_time now)
+{
+    if (!e.state.rate_limit)
+    {
+        e.sent_since_rate_log = 0;
+        e.rate_logged_at = now;
+        return;
+    }
+    if (now - e.rate_logged_at < config::rate_log_period)
+    {
+        return;
+    }
+    if (log_.try_admit(event::target_rate, now))
+    {
+        log_.write(event::target_rate,
+            {{"target", e.state.record.id}, {"service", e.state.record.service},
+                {"rate_limit", *e.state.rate_limit}, {"vms", vms_.total},
+                {"sent", e.sent_since_rate_log},
+                {"period_ms", to_milliseconds(now - e.rate_logged_at)}});
+    }
+    e.sent_since_rate_log = 0;
+    e.rate_logged_at = now;
+}
+
+} // namespace bramleymux
--- a/src/target_pool_upkeep.cpp
+++ b/src/target_pool_upkeep.cpp
@@ -27,7 +27,8 @@
     e.state.probing = true;
     metrics_.add(counter::health_probes);
     e.probe_number = ++last_probe_;
-    e.probe_until = monotonic_clock::now() + config::health_timeout;
+    e.probe_sent_at = monotonic_clock::now();
+    e.probe_until = e.probe_sent_at + config::health_timeout;
     const std::string id = e.state.record.id;
     e.probe_link = open_link(e,
         [this, id, number = e.probe_number](
@@ -81,7 +82,7 @@
     if (replied && (is_success(reply.status) || reply.not_run))
     {
         const bool was_blocked = e.state.blocked;
-        record_reply(e, reply);
+        record_reply(e, reply, e.probe_sent_at);
         record_recovered(e.state);
         if (was_blocked)
         {
@@ -153,6 +154,7 @@
     {
         wake_waiter(*e.service);
     }
+    log_rate(e, now);
     if (e.state.blocked && !e.state.probing && !e.removed &&
         now >= e.state.probe_at)
     {
