--- a/src/target_pool.cpp
+++ b/src/target_pool.cpp
@@ -491,8 +491,7 @@
     const auto found = sends_.find(id);
     if (found != sends_.end())
     {
-        record_reply(
-            *found->second.target, result.reply, found->second.since);
+        record_reply(*found->second.target, result.reply, found->second.since);
     }
     const send_outcome outcome = outcome_of(result.reply);
     const bool denied =
--- /dev/null
+++ b/tests/test_target_notices.cpp
@@ -0,0 +1,54 @@
+#include "entry_fixture.hpp"
+
+using namespace bramleymux;
+using namespace bramleymux::fixture;
+
+namespace
+{
+
+/// Returns a 200 reply with one more header line.
+scripted_reply
+good_with(const parsed_request& request, const std::string& header)
+{
+    return {http_text(200,
+        "X-Request-Id: " + header_value(request, "X-Request-Id") +
+            "\r\nX-Response-Stamp: p\r\n" + header + "\r\n",
+        "x")};
+}
+
+/// Returns the most requests that a rate limit allows in `elapsed`, with room
+/// for half as many again and 5 requests in each 4 s.
+std::size_t
+allowed_requests(double rate_limit, duration elapsed)
+{
+    constexpr auto window = 4s;
+    const auto windows = static_cast<double>(elapsed / window + 1);
+    return static_cast<std::size_t>(windows * (6.0 * rate_limit + 5.0));
+}
+
+} // namespace
+
+// Guards against a target that gets more requests than the limit that it names.
+TEST_CASE("a target gets no more requests than its rate limit", "[entry]")
+{
+    constexpr double rate_limit = 5.0;
+    entry_vm vm;
+    stand_in_target limited(vm.loop, "ta",
+        [](const parsed_request& r)
+        { return good_with(r, "Server-Limit: 5.0"); });
+    stand_in_target other(vm.loop, "tb",
+        [](const parsed_request& r) { return good(r, "pb", "x"); });
+    vm.pool.put(limited.record("s", "north"));
+    vm.pool.put(other.record("s", "far"));
+    vm.adopt(1, {entry_vm::make_route("q", {"s"}, false, true)});
+    test_caller caller(vm.loop, vm.caller_address());
+    const monotonic_time begin = monotonic_clock::now();
+    for (int i = 0; i < 200; ++i)
+    {
+        caller.send(get("/q/1", "r" + std::to_string(i)));
+        CHECK(caller.reply().status == 200);
+    }
+    const duration elapsed = monotonic_clock::now() - begin;
+    CHECK(limited.received.size() <= allowed_requests(rate_limit, elapsed));
+    CHECK(!limited.received.empty());
+}
