Keep all VMs together within a target's rate limit

Cause: a target in need names the requests a second that it takes from all VMs together. The limit was not read, so each VM sent as its choice by latency and load gave; the two VMs of the target's zone alone sent up to three times the limit. Class of fault: a limit of the whole fleet that no VM divides. Change: each VM sends to such a target at evenly spaced times, from a random start, within its part of the limit; the VMs of the target's zone have 0.6 of it. A time that passes unused expires after 0.5 s, so that VMs without use for the target save up nothing for the moment at which its replicas fail. Each send counts when it is made, whatever its reason: first sends, hedges, retries, orders of other VMs, requests that waited. A request waits for a time to send if it can still be in time, else it is rejected at once with a Retry-After of that wait; a gathered answer leaves the shard out if its least coverage allows that.

--- a/src/config.hpp
+++ b/src/config.hpp
@@ -488,6 +488,16 @@
 // Share of the request rate that a cold target bears. The rest allows for
 // requests of several VMs that arrive at once.
 inline constexpr double cold_rate_share = 0.6;
+// Share of the rate limit that a target names which the VMs use. The rest
+// allows for requests that are sent late, and for VMs that join.
+inline constexpr double rate_limit_share = 0.9;
+// A lower limit counts as this rate, so that some reply tells when it ends.
+inline constexpr double min_rate_limit = 0.1; // requests/s
+// Part of a shared rate for the VMs of the target's zone.
+inline constexpr double own_zone_rate_share = 0.6;
+inline constexpr auto max_send_interval = 1h;
+// A time to send at a shared rate expires this long after it has passed unused.
+inline constexpr auto unused_send_lifetime = 500ms;
 // Times the error or shed rate, added to 1. A rate of one in four outweighs the
 // surcharge of another zone.
 inline constexpr double error_cost_factor = 24.0;
--- a/src/entry_problem.cpp
+++ b/src/entry_problem.cpp
@@ -2,6 +2,8 @@
 
 #include "config.hpp"
 
+#include <algorithm>
+
 namespace bramleymux
 {
 
@@ -20,7 +22,7 @@
 
 http_reply
 make_entry_problem(problem_code code, run_state run, std::string_view detail,
-    std::mt19937_64& random)
+    std::mt19937_64& random, duration retry_after)
 {
     const problem_info& info = info_of(code);
     http_reply out;
@@ -35,7 +37,8 @@
     {
         std::uniform_real_distribution<double> jitter(0.0, 1.0);
         const double retry_after_s =
-            (in_milliseconds(config::retry_after_min) +
+            (std::max(in_milliseconds(config::retry_after_min),
+                 in_milliseconds(retry_after)) +
                 jitter(random) * in_milliseconds(config::retry_after_spread)) /
             1000.0;
         out.fields.push_back({"Retry-After", std::to_string(retry_after_s)});
--- a/src/entry_problem.hpp
+++ b/src/entry_problem.hpp
@@ -11,9 +11,10 @@
 {
 
 /// Returns a problem document (RFC 9457). A 503 for a request that ran nowhere
-/// has a `Retry-After` field with a random part, which spreads the retries.
+/// has a `Retry-After` field of at least `retry_after`, with a random part that
+/// spreads the retries.
 http_reply
 make_entry_problem(problem_code code, run_state run, std::string_view detail,
-    std::mt19937_64& random);
+    std::mt19937_64& random, duration retry_after = duration::zero());
 
 } // namespace bramleymux
--- a/src/entry_query.cpp
+++ b/src/entry_query.cpp
@@ -53,6 +53,12 @@
     return !route_.shards.empty();
 }
 
+double
+entry_query::least_coverage() const
+{
+    return gathers() ? route_.min_coverage : 1.0;
+}
+
 duration
 entry_query::hedge_delay() const
 {
@@ -97,8 +103,9 @@
     init_shards();
     for (shard_query& shard : shards_)
     {
-        shard.failed = !context_.pool.is_served(shard.service, shard.tried);
-        shard.reason = miss_reason::no_replica;
+        const auto wait = context_.pool.rate_wait(shard.service, shard.tried);
+        shard.failed = !is_worth_waiting(wait);
+        shard.reason = wait ? miss_reason::queue_full : miss_reason::no_replica;
     }
     // Nothing is sent if too few shards can answer, or could do so in time.
     if (next_step(progress(started_)) != gather_step::fail && !lacks_room())
@@ -123,91 +130,6 @@
     advance();
 }
 
-/// Whether so many shards lack a target with room that an answer could only be
-/// late. A caller that is refused at once may be served in time on its next
-/// attempt.
-bool
-entry_query::lacks_room() const
-{
-    if (!gathers())
-    {
-        return false;
-    }
-    gather_progress p = progress(started_);
-    p.open =
-        static_cast<std::size_t>(std::count_if(shards_.begin(), shards_.end(),
-            [this](const shard_query& shard)
-            { return context_.pool.has_room(shard.service); }));
-    return next_step(p) == gather_step::fail;
-}
-
-void
-entry_query::refuse_without_sending()
-{
-    const bool reachable = next_step(progress(started_)) != gather_step::fail;
-    const auto code =
-        reachable ? problem_code::overloaded : problem_code::no_target;
-    for (shard_query& shard : shards_)
-    {
-        const bool without_room =
-            !shard.failed && !context_.pool.has_room(shard.service);
-        shard.reason = shard.failed   ? miss_reason::no_replica
-                       : without_room ? miss_reason::queue_full
-                                      : miss_reason::none;
-    }
-    context_.counters.add(counter::refused_not_run);
-    finish(make_entry_problem(code, run_state::not_run,
-               "too few shards can take the request", context_.random),
-        event::query_refused,
-        problem_code_names[static_cast<std::size_t>(code)]);
-}
-
-bool
-entry_query::dispatch_or_wait(std::size_t shard_index, send_reason reason)
-{
-    shard_query& shard = shards_[shard_index];
-    if (dispatch(shard_index, reason))
-    {
-        return true;
-    }
-    shard.waiting_for_room =
-        context_.pool.is_served(shard.service, shard.tried) &&
-        context_.pool.wait_for_room(shard.service,
-            started_ + target_latency_left_ - stats_.median_latency,
-            [self = shared_from_this(), shard_index, reason]
-            { return self->on_room_available(shard_index, reason); });
-    shard.failed = is_exhausted(shard);
-    return false;
-}
-
-bool
-entry_query::on_room_available(std::size_t shard_index, send_reason reason)
-{
-    shard_query& shard = shards_[shard_index];
-    shard.waiting_for_room = false;
-    if (finished_ || shard.answered)
-    {
-        return false;
-    }
-    // A late answer is worth more to the caller than a failure, but the wait
-    // ends while the caller has time for another attempt.
-    const duration longest_wait = std::max<duration>(
-        route_.target_latency, std::chrono::duration_cast<duration>(
-                                   give_up_after_ * config::room_wait_share));
-    bool sent = false;
-    if (gathers() && monotonic_clock::now() - started_ > longest_wait)
-    {
-        shard.reason = miss_reason::queue_full;
-        shard.failed = is_exhausted(shard);
-    }
-    else
-    {
-        sent = dispatch_or_wait(shard_index, reason);
-    }
-    advance();
-    return sent;
-}
-
 void
 entry_query::count_send(send_reason reason)
 {
@@ -394,7 +316,7 @@
         p.answered += shard.answered ? 1 : 0;
         p.open += shard.answered || shard.failed ? 0 : 1;
     }
-    p.min_coverage = gathers() ? route_.min_coverage : 1.0;
+    p.min_coverage = least_coverage();
     p.elapsed = now - started_;
     p.target_latency = target_latency_left_;
     p.give_up = give_up_after_;
--- a/src/entry_query.hpp
+++ b/src/entry_query.hpp
@@ -120,10 +120,18 @@
     on_order_refused(const delegation& from);
     bool
     may_resend(const shard_query& shard) const;
+    duration
+    longest_wait() const;
+    bool
+    is_worth_waiting(const std::optional<duration>& wait) const;
+    bool
+    has_room_in_time(const shard_query& shard) const;
     bool
     lacks_room() const;
     void
     refuse_without_sending();
+    std::optional<duration>
+    time_until_answerable() const;
     bool
     dispatch(std::size_t shard_index, send_reason reason);
     /// Dispatches now, or queues until a target has room and the budget allows
@@ -182,6 +190,9 @@
     /// Whether the route has shards.
     bool
     gathers() const;
+    /// Returns the least share of the shards that an answer needs.
+    double
+    least_coverage() const;
     bool
     may_have_run() const;
 
--- a/src/entry_query_answer.cpp
+++ b/src/entry_query_answer.cpp
@@ -80,7 +80,9 @@
         ran ? counter::failed_unknown : counter::refused_not_run);
     finish(
         make_entry_problem(code, ran ? run_state::unknown : run_state::not_run,
-            to_string(first.reason), context_.random),
+            to_string(first.reason), context_.random,
+            ran ? duration::zero()
+                : time_until_answerable().value_or(duration::zero())),
         ran ? event::request_failed : event::query_refused,
         problem_code_names[static_cast<std::size_t>(code)]);
 }
--- a/src/target_choice.cpp
+++ b/src/target_choice.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace bramleymux
 {
@@ -96,25 +97,31 @@
     }
 }
 
-/// Interval between two requests of this VM to a cold target that keeps all VMs
-/// together below the rate that the target can take.
-duration
-cold_interval(const choice_context& context)
+/// Rate of this VM's requests to a cold target that keeps all VMs together
+/// below the rate that the target can take.
+double
+cold_rate(const choice_context& context)
 {
-    const double rate =
-        config::cold_rate_share * context.cold_rate /
-        static_cast<double>(std::max<std::size_t>(context.vms, 1));
-    return std::chrono::duration_cast<duration>(
-        std::chrono::duration<double>(1.0 / rate));
+    return config::cold_rate_share * context.cold_rate /
+           static_cast<double>(std::max<std::size_t>(context.vms, 1));
 }
 
 /// Whether requests to the target are limited in rate because it is cold.
 bool
-is_limited(const target_state& target, const choice_context& context)
+is_cold_limited(const target_state& target, const choice_context& context)
 {
     return context.now < target.cold_until && context.cold_rate > 0.0;
 }
 
+/// Rate of this VM's requests to a target that names a rate limit.
+double
+limited_rate(const target_state& target)
+{
+    const double limit =
+        std::max(target.rate_limit.value_or(0.0), config::min_rate_limit);
+    return config::rate_limit_share * limit * target.rate_part;
+}
+
 /// Cost without the surcharges of its place.
 double
 cost_of_state(const target_state& target, const choice_context& context)
@@ -286,7 +293,39 @@
     {
         return false;
     }
-    return !is_limited(target, context) || context.now >= target.cold_next;
+    return true;
+}
+
+double
+allowed_rate(const target_state& target, const choice_context& context)
+{
+    double rate = std::numeric_limits<double>::infinity();
+    if (is_cold_limited(target, context))
+    {
+        rate = std::min(rate, cold_rate(context));
+    }
+    if (target.rate_limit)
+    {
+        rate = std::min(rate, limited_rate(target));
+    }
+    return rate;
+}
+
+monotonic_time
+next_send_at(const target_state& target, const choice_context& context)
+{
+    monotonic_time at = context.now;
+    if (is_cold_limited(target, context))
+    {
+        at = std::max(at, target.cold_next);
+    }
+    if (target.rate_limit)
+    {
+        at =
+            std::max(at, next_send(target.limited_sends,
+                             send_interval(limited_rate(target)), context.now));
+    }
+    return at;
 }
 
 bool
@@ -327,7 +366,8 @@
                 std::find(context.tried->begin(), context.tried->end(),
                     target) != context.tried->end();
             if (tried || target->full || is_saturated(*target, context.now) ||
-                !is_usable(*target, context, last_resort))
+                !is_usable(*target, context, last_resort) ||
+                next_send_at(*target, context) > context.now)
             {
                 continue;
             }
@@ -352,21 +392,37 @@
 {
     const bool was_cold = context.now < target.cold_until;
     target.cold_until = context.now + left;
-    if (!was_cold && is_limited(target, context))
+    if (!was_cold && is_cold_limited(target, context))
     {
         std::uniform_real_distribution<double> part(0.0, 1.0);
         target.cold_next =
             context.now + std::chrono::duration_cast<duration>(
-                              part(random) * cold_interval(context));
+                              part(random) * send_interval(cold_rate(context)));
+    }
+}
+
+void
+start_limited_sends(
+    target_state& target, monotonic_time now, std::mt19937_64& random)
+{
+    if (target.rate_limit)
+    {
+        start_schedule(target.limited_sends,
+            send_interval(limited_rate(target)), now, random);
     }
 }
 
 void
-spend_cold_allowance(target_state& target, const choice_context& context)
+spend_rates(target_state& target, const choice_context& context)
 {
-    if (is_limited(target, context))
+    if (is_cold_limited(target, context))
+    {
+        target.cold_next = context.now + send_interval(cold_rate(context));
+    }
+    if (target.rate_limit)
     {
-        target.cold_next = context.now + cold_interval(context);
+        record_send(target.limited_sends, send_interval(limited_rate(target)),
+            context.now);
     }
 }
 
--- a/src/target_choice.hpp
+++ b/src/target_choice.hpp
@@ -2,6 +2,7 @@
 
 #include "entry_wire.hpp"
 #include "fleet_view.hpp"
+#include "target_rate.hpp"
 
 #include <bramleymux/types.hpp>
 
@@ -55,6 +56,8 @@
     /// Requests/s of all VMs together, as the target names it; none = any.
     std::optional<double> rate_limit;
     monotonic_time rate_limit_at{}; ///< last reply that named it
+    send_schedule limited_sends;    ///< of this VM, within the limit
+    double rate_part = 1.0;         ///< this VM's part of the limit
 };
 
 enum class send_outcome
@@ -144,12 +147,23 @@
     bool other_versions = false;
 };
 
-/// Returns whether the target may get a request once it has capacity. Leaving
-/// targets may not; lapsed ones only with `last_resort`.
+/// Returns whether the target may get a request once it has capacity and its
+/// rates allow it. Leaving targets may not; lapsed ones only with
+/// `last_resort`.
 bool
 is_usable(const target_state& target, const choice_context& context,
     bool last_resort);
 
+/// Returns when the rates of the target allow this VM another request: a time
+/// up to `context.now` if they do so now.
+monotonic_time
+next_send_at(const target_state& target, const choice_context& context);
+
+/// Returns the requests/s of this VM that the rates of the target allow;
+/// infinite without a limit.
+double
+allowed_rate(const target_state& target, const choice_context& context);
+
 /// Returns the relative cost of one more request; lower is better. A healthy
 /// idle target costs 1. The surcharge of another zone is added, not multiplied,
 /// so that a target that is slow, fails or sheds loses against a healthy one
@@ -175,9 +189,14 @@
 record_cold_start(target_state& target, duration left,
     const choice_context& context, std::mt19937_64& random);
 
-/// Counts one request against this VM's rate for a cold target; no-op for other
-/// targets.
+/// Starts the schedule of requests within the target's rate limit, for a new
+/// limit or another part of it.
+void
+start_limited_sends(
+    target_state& target, monotonic_time now, std::mt19937_64& random);
+
+/// Counts one request against this VM's rates for the target.
 void
-spend_cold_allowance(target_state& target, const choice_context& context);
+spend_rates(target_state& target, const choice_context& context);
 
 } // namespace bramleymux
--- a/src/target_pool.cpp
+++ b/src/target_pool.cpp
@@ -106,7 +106,7 @@
 target_pool::set_options(pool_options options)
 {
     options_ = std::move(options);
-    plan_all_links();
+    plan_all();
 }
 
 target_pool::service_state&
@@ -186,6 +186,7 @@
     e.state.record = record;
     e.state.lapsed_at.reset();
     plan_links_of(e);
+    plan_rate_of(e);
     record_cold_start(
         e.state, record.cold_start_left, context_of(e.service), random_);
     if (fresh || was_leaving != record.leaving)
@@ -218,7 +219,7 @@
 {
     vms_ = std::move(vms);
     vms_.total = std::max<std::size_t>(vms_.total, 1);
-    plan_all_links();
+    plan_all();
 }
 
 void
@@ -228,7 +229,7 @@
     {
         service_of(rule.name).rule = rule;
     }
-    plan_all_links();
+    plan_all();
 }
 
 target_state*
@@ -242,8 +243,8 @@
                      : choose_target(s.targets, context, random_);
 }
 
-/// Returns whether some usable target of the service passes `test`; lapsed
-/// targets count as usable.
+/// Returns whether some usable target of the service passes `test`, which gets
+/// the target and the context; lapsed targets count as usable.
 template <class Test>
 bool
 target_pool::any_usable(
@@ -259,7 +260,7 @@
     return std::any_of(found->second->targets.begin(),
         found->second->targets.end(),
         [&](const target_state* t)
-        { return is_usable(*t, context, true) && test(*t); });
+        { return is_usable(*t, context, true) && test(*t, context); });
 }
 
 bool
@@ -267,17 +268,19 @@
     const std::vector<const target_state*>& tried) const
 {
     return any_usable(service, choice_scope::any_zone,
-        [&](const target_state& t)
+        [&](const target_state& t, const choice_context&)
         { return std::find(tried.begin(), tried.end(), &t) == tried.end(); });
 }
 
 bool
 target_pool::has_room(const std::string& service, choice_scope scope) const
 {
-    const monotonic_time now = monotonic_clock::now();
     return any_usable(service, scope,
-        [&](const target_state& t)
-        { return !t.full && !is_saturated(t, now); });
+        [](const target_state& t, const choice_context& context)
+        {
+            return !t.full && !is_saturated(t, context.now) &&
+                   next_send_at(t, context) <= context.now;
+        });
 }
 
 shard_reach
@@ -293,7 +296,10 @@
     shard_reach usable;
     for (const target_state* t : found->second->targets)
     {
-        if (is_usable(*t, context, false))
+        // VMs of other zones have their own parts of a target's rate.
+        const bool waits_here = t->record.zone == options_.zone &&
+                                next_send_at(*t, context) > context.now;
+        if (is_usable(*t, context, false) && !waits_here)
         {
             add_reach(usable, t->record.zone, options_.zone);
             if (is_healthy(*t, context))
@@ -428,7 +434,7 @@
     pending.since = now;
     record_sent(target, id, pending.order.expected, now);
     ++e.sent_since_rate_log;
-    spend_cold_allowance(target, context_of(e.service));
+    spend_rates(target, context_of(e.service));
     metrics_.add(counter::sub_requests);
     if (const auto idle = idle_link(e))
     {
--- a/src/target_pool.hpp
+++ b/src/target_pool.hpp
@@ -131,6 +131,13 @@
     is_served(const std::string& service,
         const std::vector<const target_state*>& tried) const;
 
+    /// Returns how long the rates of the targets outside `tried` keep one more
+    /// request waiting, behind those that wait already; zero if some rate
+    /// allows it now. Returns nullopt if no target is usable.
+    std::optional<duration>
+    rate_wait(const std::string& service,
+        const std::vector<const target_state*>& tried) const;
+
     /// Returns whether some target of the service can take a request now.
     bool
     has_room(const std::string& service,
@@ -222,8 +229,16 @@
     /// Updates this VM's part of the target's connections.
     void
     plan_links_of(entry& e);
+    /// Updates this VM's part of the rates that all VMs share.
+    void
+    plan_rate_of(entry& e);
     void
-    plan_all_links();
+    plan_all();
+    /// Wakes the requests that wait for a target with a limited rate.
+    void
+    wake_rate_limited();
+    bool
+    has_limited_rate(const service_state& service) const;
     void
     refresh_room(entry& e);
     void
--- a/src/target_pool_reply.cpp
+++ b/src/target_pool_reply.cpp
@@ -36,13 +36,17 @@
 {
     const monotonic_time now = monotonic_clock::now();
     const bool changed = record_rate_limit(e.state, notice, sent_at, now);
+    if (changed)
+    {
+        start_limited_sends(e.state, now, random_);
+    }
     if (changed && log_.try_admit(event::target_rate_limit_changed, now))
     {
         log_.write(event::target_rate_limit_changed,
             {{"target", e.state.record.id}, {"service", e.state.record.service},
                 {"limited", e.state.rate_limit.has_value()},
                 {"rate_limit", e.state.rate_limit.value_or(0.0)},
-                {"vms", vms_.total}});
+                {"part", e.state.rate_part}});
     }
     if (notice.retry_after && log_.try_admit(event::target_paused, now))
     {
@@ -74,8 +78,8 @@
     {
         log_.write(event::target_rate,
             {{"target", e.state.record.id}, {"service", e.state.record.service},
-                {"rate_limit", *e.state.rate_limit}, {"vms", vms_.total},
-                {"sent", e.sent_since_rate_log},
+                {"rate_limit", *e.state.rate_limit},
+                {"part", e.state.rate_part}, {"sent", e.sent_since_rate_log},
                 {"period_ms", to_milliseconds(now - e.rate_logged_at)}});
     }
     e.sent_since_rate_log = 0;
--- a/src/target_pool_room.cpp
+++ b/src/target_pool_room.cpp
@@ -29,11 +29,12 @@
 }
 
 void
-target_pool::plan_all_links()
+target_pool::plan_all()
 {
     for (const auto& [id, e] : entries_)
     {
         plan_links_of(*e);
+        plan_rate_of(*e);
     }
 }
 
@@ -96,6 +97,12 @@
         // Only a request that queues again has turned the offer down.
         offers -= service.waiters.size() > others ? 1 : 0;
     }
+    // Rates may allow several requests at once, while a finished request makes
+    // room for one.
+    if (used && has_limited_rate(service))
+    {
+        wake_waiter(service);
+    }
 }
 
 } // namespace bramleymux
--- a/src/target_pool_upkeep.cpp
+++ b/src/target_pool_upkeep.cpp
@@ -27,8 +27,7 @@
     e.state.probing = true;
     metrics_.add(counter::health_probes);
     e.probe_number = ++last_probe_;
-    e.probe_sent_at = monotonic_clock::now();
-    e.probe_until = e.probe_sent_at + config::health_timeout;
+    e.probe_until = monotonic_clock::now() + config::health_timeout;
     const std::string id = e.state.record.id;
     e.probe_link = open_link(e,
         [this, id, number = e.probe_number](
@@ -82,7 +81,9 @@
     if (replied && (is_success(reply.status) || reply.not_run))
     {
         const bool was_blocked = e.state.blocked;
-        record_reply(e, reply, e.probe_sent_at);
+        // A probe's reply may lack what replies to requests say, so it ends no
+        // rate limit.
+        record_reply(e, reply, {});
         record_recovered(e.state);
         if (was_blocked)
         {
@@ -211,6 +212,7 @@
             ++it;
         }
     }
+    wake_rate_limited();
     for (const auto& e : retired_)
     {
         tick_links(*e, now);
--- /dev/null
+++ b/src/target_rate.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <bramleymux/types.hpp>
+
+#include <cstddef>
+#include <random>
+
+/// Divides a request rate that all VMs share among them, without messages
+/// between the VMs.
+///
+/// Answers the load of many VMs on one target: each VM sends at evenly spaced
+/// times of its own, from a random start, so that the requests of all VMs are
+/// spread. A time that passes unused soon expires. Otherwise VMs that had no
+/// use for the target would all keep one, and use them at the same moment when
+/// its replicas fail.
+namespace bramleymux
+{
+
+/// Registered VMs, as the division of a target's rate sees them.
+struct rate_shares
+{
+    std::size_t vms_in_zone = 0; ///< in the target's zone
+    std::size_t vms_elsewhere = 0;
+    bool same_zone = false; ///< this VM is in the target's zone
+};
+
+/// Returns this VM's part of a rate, 0 to 1; the parts of all VMs add up to 1.
+/// The VMs of the target's zone get most of it, as they send most of its
+/// requests.
+double
+rate_part(const rate_shares& shares);
+
+/// Evenly spaced times at which one VM may send to a target.
+struct send_schedule
+{
+    monotonic_time next{}; ///< earliest unused time
+};
+
+/// Returns the time between two requests at `rate` requests/s, at most
+/// `config::max_send_interval`.
+duration
+send_interval(double rate);
+
+/// Starts a schedule at a random time within one interval from `now`.
+void
+start_schedule(send_schedule& schedule, duration interval, monotonic_time now,
+    std::mt19937_64& random);
+
+/// Returns the earliest time of the schedule that has not expired by `now`.
+monotonic_time
+next_send(const send_schedule& schedule, duration interval, monotonic_time now);
+
+/// Uses up the time that `next_send` returns.
+void
+record_send(send_schedule& schedule, duration interval, monotonic_time now);
+
+} // namespace bramleymux
--- a/tests/test_entry_decisions.cpp
+++ b/tests/test_entry_decisions.cpp
@@ -322,7 +322,7 @@
         {
             if (choose_target({&view}, context, random) != nullptr)
             {
-                spend_cold_allowance(view, context);
+                spend_rates(view, context);
                 sent.push_back(context.now);
             }
         }
