Send nothing more to a target that says it leaves

Cause: a target that leaves says so in all its replies, and nothing read that. The registration tells it later, or not at all to a VM that is cut off from the store, and callers were sent to a process that was about to exit. Class of fault: one source of knowledge where two exist. Change: a reply or failed health probe that says so excludes the target like a draining registration. That holds for its process: a registration that still says ready, or that lapses and comes back, changes nothing; a new process under the id does. A send that waits for its connection is withdrawn.

--- a/src/config.hpp
+++ b/src/config.hpp
@@ -527,6 +527,9 @@
 // must be free of new work.
 inline constexpr double lapsed_grace_share = 0.5;
 inline constexpr auto default_leave_bound = 3s;
+// Time for which it is known that a process said it leaves, beyond the time
+// that it takes to exit.
+inline constexpr auto departure_retention = 10min;
 
 // Time that a caller has already spent is ignored below this share of the
 // route's longest time left; above it the request is taken for a repetition.
--- a/src/target_choice.cpp
+++ b/src/target_choice.cpp
@@ -266,11 +266,17 @@
            target.load.waiting >= std::max(target.record.slots, 1U);
 }
 
+bool
+is_leaving(const target_state& target)
+{
+    return target.record.leaving || target.said_leaving;
+}
+
 bool
 is_usable(
     const target_state& target, const choice_context& context, bool last_resort)
 {
-    if (target.record.leaving || target.misdirected || target.blocked ||
+    if (is_leaving(target) || target.misdirected || target.blocked ||
         (target.lapsed_at && !last_resort))
     {
         return false;
--- a/src/target_choice.hpp
+++ b/src/target_choice.hpp
@@ -47,6 +47,7 @@
     bool full = false;          ///< no idle connection, and no more allowed
     bool unplanned = false;     ///< this VM's part of its connections is none
     bool misdirected = false;   ///< another process has the address
+    bool said_leaving = false;  ///< a reply said so; holds for its process
     std::uint32_t failures = 0; ///< since a reply; each doubles the delay
     monotonic_time probe_at{};  ///< earliest next health probe
 
@@ -147,6 +148,11 @@
     bool other_versions = false;
 };
 
+/// Returns whether the target will stop soon, by its registration or its
+/// replies.
+bool
+is_leaving(const target_state& target);
+
 /// Returns whether the target may get a request once it has capacity and its
 /// rates allow it. Leaving targets may not; lapsed ones only with
 /// `last_resort`.
--- a/src/target_pool.cpp
+++ b/src/target_pool.cpp
@@ -180,6 +180,7 @@
         slot->endpoint = *endpoint;
         slot->state.measured_at = monotonic_clock::now();
         slot->hash = hash_share(record.id);
+        slot->state.said_leaving = has_departed(record);
     }
     entry& e = *slot;
     const bool was_leaving = e.state.record.leaving;
@@ -469,7 +470,9 @@
     entry& e, const std::shared_ptr<target_link>& link, send_id id)
 {
     pending_send& pending = sends_.at(id);
-    const bool wanted = pending.close_at == monotonic_time::max();
+    // The target may have said that it leaves while the connection opened.
+    const bool wanted =
+        pending.close_at == monotonic_time::max() && !is_leaving(e.state);
     std::string bytes =
         wanted ? pending.order.write(e.state.record.id) : std::string();
     if (bytes.empty())
--- a/src/target_pool.hpp
+++ b/src/target_pool.hpp
@@ -216,6 +216,13 @@
     }
 
 private:
+    /// A process that has said that it leaves.
+    struct departure
+    {
+        std::uint64_t started_ms = 0; ///< of its registration
+        monotonic_time at{};          ///< of its last such reply
+    };
+
     struct entry;
     struct pending_send;
     struct service_state;
@@ -272,6 +279,13 @@
     record_notice(
         entry& e, const target_notice& notice, monotonic_time sent_at);
     void
+    record_departure(entry& e);
+    /// Whether the process of the registration has said that it leaves.
+    bool
+    has_departed(const target_record& record) const;
+    void
+    forget_departures(monotonic_time now);
+    void
     log_rate(entry& e, monotonic_time now);
     void
     probe(entry& e);
@@ -300,6 +314,9 @@
     std::unordered_map<std::string, std::unique_ptr<entry>> entries_;
     /// Dropped targets with connections or sends that are still open.
     std::vector<std::unique_ptr<entry>> retired_;
+    /// By target id. Kept longer than the entries, since a registration can
+    /// lapse and come back.
+    std::unordered_map<std::string, departure> departures_;
     std::unordered_map<std::string, std::unique_ptr<service_state>> services_;
     std::unordered_map<send_id, pending_send> sends_;
     send_id last_send_ = 0;
--- a/src/target_pool_reply.cpp
+++ b/src/target_pool_reply.cpp
@@ -54,10 +54,42 @@
             {{"target", e.state.record.id}, {"service", e.state.record.service},
                 {"retry_after_ms", to_milliseconds(*notice.retry_after)}});
     }
-    if (notice.leaving && !e.state.record.leaving)
+    if (notice.leaving)
+    {
+        record_departure(e);
+    }
+}
+
+/// Excludes a target that says in a reply that it leaves. Its process does not
+/// come back from that, whatever its registration says.
+void
+target_pool::record_departure(entry& e)
+{
+    if (!e.state.said_leaving && !e.state.record.leaving)
     {
         log_target(event::target_draining, e, "reply");
     }
+    e.state.said_leaving = true;
+    departures_[e.state.record.id] = {
+        e.state.record.started_ms, monotonic_clock::now()};
+}
+
+bool
+target_pool::has_departed(const target_record& record) const
+{
+    const auto found = departures_.find(record.id);
+    return found != departures_.end() &&
+           found->second.started_ms == record.started_ms;
+}
+
+void
+target_pool::forget_departures(monotonic_time now)
+{
+    for (auto it = departures_.begin(); it != departures_.end();)
+    {
+        const bool old = now - it->second.at > config::departure_retention;
+        it = old ? departures_.erase(it) : std::next(it);
+    }
 }
 
 /// Logs how many requests this VM sends to a target with a rate limit.
--- a/src/target_pool_upkeep.cpp
+++ b/src/target_pool_upkeep.cpp
@@ -72,6 +72,10 @@
         // rejection of the next request on the connection.
         link->close();
     }
+    if (replied && reply.notice.leaving && reply.target_id == id)
+    {
+        record_departure(e);
+    }
     if (replied && !reply.target_id.empty() && reply.target_id != id)
     {
         e.state.misdirected = true;
@@ -213,6 +217,7 @@
         }
     }
     wake_rate_limited();
+    forget_departures(now);
     for (const auto& e : retired_)
     {
         tick_links(*e, now);
--- a/tests/test_target_notices.cpp
+++ b/tests/test_target_notices.cpp
@@ -52,3 +52,42 @@
     CHECK(limited.received.size() <= allowed_requests(rate_limit, elapsed));
     CHECK(!limited.received.empty());
 }
+
+// Guards against new requests to a target that has said that it leaves: the
+// platform's store may tell so later, or not at all.
+TEST_CASE("a target that says it leaves gets no more requests", "[entry]")
+{
+    entry_vm vm;
+    stand_in_target leaving(vm.loop, "ta",
+        [](const parsed_request& r)
+        { return good_with(r, "Server-Leaving: 1"); });
+    stand_in_target other(vm.loop, "tb",
+        [](const parsed_request& r) { return good(r, "pb", "x"); });
+    vm.pool.put(leaving.record("s", "north"));
+    vm.pool.put(other.record("s", "far"));
+    vm.adopt(1, {entry_vm::make_route("q", {"s"}, false, true)});
+    test_caller caller(vm.loop, vm.caller_address());
+    const auto ask = [&]
+    {
+        caller.send(get("/q/1", "r1"));
+        CHECK(caller.reply().status == 200);
+    };
+    ask();
+    ask();
+    // The store still lists the target as it was.
+    vm.pool.put(leaving.record("s", "north"));
+    ask();
+    CHECK(leaving.received.size() == 1);
+    // Its registration lapses while the store is away, and comes back.
+    vm.pool.remove("ta");
+    caller.run_until([&] { return vm.pool.size() == 1; });
+    vm.pool.put(leaving.record("s", "north"));
+    ask();
+    CHECK(leaving.received.size() == 1);
+    // A new process under the same id takes requests.
+    target_record restarted = leaving.record("s", "north");
+    restarted.started_ms = 1;
+    vm.pool.put(restarted);
+    ask();
+    CHECK(leaving.received.size() == 2);
+}
