Spread the requests to a cold target also after a time without any

Each VM may send to a cold target once in an interval that all VMs share, and a time that passed unused stayed open. A cold target is the last choice while its replicas are well, so after a while all VMs had a request left, and would send it at the same moment when the replicas fail: the burst that crashes a cold target.

--- a/src/target_choice.cpp
+++ b/src/target_choice.cpp
@@ -323,7 +323,8 @@
     monotonic_time at = context.now;
     if (is_cold_limited(target, context))
     {
-        at = std::max(at, target.cold_next);
+        at = std::max(at, next_send(target.cold_sends,
+                              send_interval(cold_rate(context)), context.now));
     }
     if (target.rate_limit)
     {
@@ -400,10 +401,8 @@
     target.cold_until = context.now + left;
     if (!was_cold && is_cold_limited(target, context))
     {
-        std::uniform_real_distribution<double> part(0.0, 1.0);
-        target.cold_next =
-            context.now + std::chrono::duration_cast<duration>(
-                              part(random) * send_interval(cold_rate(context)));
+        start_schedule(target.cold_sends, send_interval(cold_rate(context)),
+            context.now, random);
     }
 }
 
@@ -423,7 +422,8 @@
 {
     if (is_cold_limited(target, context))
     {
-        target.cold_next = context.now + send_interval(cold_rate(context));
+        record_send(
+            target.cold_sends, send_interval(cold_rate(context)), context.now);
     }
     if (target.rate_limit)
     {
--- a/src/target_choice.hpp
+++ b/src/target_choice.hpp
@@ -51,8 +51,7 @@
     std::uint32_t failures = 0; ///< since a reply; each doubles the delay
     monotonic_time probe_at{};  ///< earliest next health probe
 
-    /// Earliest next request of this VM while the target is cold.
-    monotonic_time cold_next{};
+    send_schedule cold_sends; ///< of this VM, while the target is cold
 
     /// Requests/s of all VMs together, as the target names it; none = any.
     std::optional<double> rate_limit;
@@ -188,9 +187,8 @@
 choose_target(const std::vector<target_state*>& targets,
     const choice_context& context, std::mt19937_64& random);
 
-/// Marks the target as cold for another `left`. The first request of this VM is
-/// delayed by a random part of the interval between its requests, so that the
-/// VMs do not send at the same moment.
+/// Marks the target as cold for another `left`, and starts the schedule of this
+/// VM's requests if it was not.
 void
 record_cold_start(target_state& target, duration left,
     const choice_context& context, std::mt19937_64& random);
--- a/tests/test_target_rate.cpp
+++ b/tests/test_target_rate.cpp
@@ -187,3 +187,39 @@
     CHECK(record_rate_limit(target, {}, start + 3500ms, start + 4s));
     CHECK(!target.rate_limit);
 }
+
+// Guards against a burst at a cold target when its replicas fail, by VMs that
+// had no use for it before.
+TEST_CASE("unused requests of a cold target are not saved up", "[entry]")
+{
+    constexpr std::size_t vms = 80;
+    constexpr double rate = 3.0;
+    std::mt19937_64 random(7);
+    std::vector<target_state> views(vms);
+    choice_context context;
+    context.vms = vms;
+    context.cold_rate = rate;
+    context.now = start;
+    for (target_state& view : views)
+    {
+        record_cold_start(view, 1h, context, random);
+    }
+    std::deque<monotonic_time> sent;
+    for (duration t = 5min; t < 6min; t += 10ms)
+    {
+        context.now = start + t;
+        for (target_state& view : views)
+        {
+            if (choose_target({&view}, context, random) != nullptr)
+            {
+                spend_rates(view, context);
+                sent.push_back(context.now);
+            }
+        }
+        while (!sent.empty() && context.now - sent.front() >= 1s)
+        {
+            sent.pop_front();
+        }
+        REQUIRE(static_cast<double>(sent.size()) <= rate * 1.5 + 5.0);
+    }
+}
