Send nothing to a target in the time of its Retry-After

Cause: a target that rejects a request with 503 may name the seconds in which it wants nothing from this VM. That was not read: the rejection only raised the target's cost, and the next request went to it at once if it was the only one. Class of fault: advice of a target that is taken for a statistic. Change: the target gets neither requests nor health probes of this VM until that time is over; other VMs have their own. Requests that can wait so long are served then, all others are rejected at once with a Retry-After of that wait. Room that opens for several waiting requests at once is now offered to as many, and only when there is some.

--- a/src/target_choice.cpp
+++ b/src/target_choice.cpp
@@ -228,6 +228,17 @@
     target.probing = false;
     target.failures = 0;
 }
+void
+record_pause(
+    target_state& target, const target_notice& notice, monotonic_time now)
+{
+    if (notice.retry_after)
+    {
+        target.paused_until =
+            std::max(target.paused_until, now + *notice.retry_after);
+    }
+}
+
 
 void
 record_probe_failed(target_state& target, monotonic_time now)
@@ -320,7 +331,7 @@
 monotonic_time
 next_send_at(const target_state& target, const choice_context& context)
 {
-    monotonic_time at = context.now;
+    monotonic_time at = std::max(context.now, target.paused_until);
     if (is_cold_limited(target, context))
     {
         at = std::max(at, next_send(target.cold_sends,
--- a/src/target_choice.hpp
+++ b/src/target_choice.hpp
@@ -56,8 +56,13 @@
     /// Requests/s of all VMs together, as the target names it; none = any.
     std::optional<double> rate_limit;
     monotonic_time rate_limit_at{}; ///< last reply that named it
-    send_schedule limited_sends;    ///< of this VM, within the limit
-    double rate_part = 1.0;         ///< this VM's part of the limit
+    /// First reply that no longer named it; none if the limit never ended.
+    std::optional<monotonic_time> rate_limit_end;
+    send_schedule limited_sends; ///< of this VM, within the limit
+    double rate_part = 1.0;      ///< this VM's part of the limit
+
+    /// The target wants no request of this VM before; see `target_notice`.
+    monotonic_time paused_until{};
 };
 
 enum class send_outcome
@@ -101,6 +106,11 @@
 record_rate_limit(target_state& target, const target_notice& notice,
     monotonic_time sent_at, monotonic_time now);
 
+/// Pauses the requests of this VM to the target if the reply asks for it.
+void
+record_pause(
+    target_state& target, const target_notice& notice, monotonic_time now);
+
 /// Unblocks the target after a successful health probe.
 void
 record_recovered(target_state& target);
--- a/src/target_pool.cpp
+++ b/src/target_pool.cpp
@@ -470,9 +470,10 @@
     entry& e, const std::shared_ptr<target_link>& link, send_id id)
 {
     pending_send& pending = sends_.at(id);
-    // The target may have said that it leaves while the connection opened.
-    const bool wanted =
-        pending.close_at == monotonic_time::max() && !is_leaving(e.state);
+    // The target may have asked for no more requests while the connection
+    // opened.
+    const bool wanted = pending.close_at == monotonic_time::max() &&
+                        !is_leaving(e.state) && !e.paused;
     std::string bytes =
         wanted ? pending.order.write(e.state.record.id) : std::string();
     if (bytes.empty())
--- a/src/target_pool_rate.cpp
+++ b/src/target_pool_rate.cpp
@@ -76,7 +76,8 @@
 {
     for (const auto& [name, service] : services_)
     {
-        if (!service->waiters.empty() && has_limited_rate(*service))
+        if (!service->waiters.empty() && has_limited_rate(*service) &&
+            has_room(name))
         {
             wake_waiter(*service);
         }
--- a/src/target_pool_reply.cpp
+++ b/src/target_pool_reply.cpp
@@ -48,6 +48,8 @@
                 {"rate_limit", e.state.rate_limit.value_or(0.0)},
                 {"part", e.state.rate_part}});
     }
+    record_pause(e.state, notice, now);
+    e.paused = now < e.state.paused_until;
     if (notice.retry_after && log_.try_admit(event::target_paused, now))
     {
         log_.write(event::target_paused,
--- a/src/target_pool_room.cpp
+++ b/src/target_pool_room.cpp
@@ -97,9 +97,9 @@
         // Only a request that queues again has turned the offer down.
         offers -= service.waiters.size() > others ? 1 : 0;
     }
-    // Rates may allow several requests at once, while a finished request makes
-    // room for one.
-    if (used && has_limited_rate(service))
+    // A finished request makes room for one, but a rate or the end of a pause
+    // may make room for several.
+    if (used && has_room(service.rule.name))
     {
         wake_waiter(service);
     }
--- a/src/target_pool_state.hpp
+++ b/src/target_pool_state.hpp
@@ -36,8 +36,9 @@
     double hash = 0.0;         ///< of the target's id, 0 to 1
     std::size_t max_links = 1; ///< connections of this VM
     std::weak_ptr<target_link> probe_link;
-    std::uint64_t probe_number = 0;        ///< of the latest probe
-    monotonic_time probe_until{};          ///< when its connection is closed
+    bool paused = false;            ///< until `target_state::paused_until`
+    std::uint64_t probe_number = 0; ///< of the latest probe
+    monotonic_time probe_until{};   ///< when its connection is closed
     std::uint32_t sent_since_rate_log = 0; ///< requests
     monotonic_time rate_logged_at{};
     bool removed = false; ///< dropped; idle connections are closed
--- a/src/target_pool_upkeep.cpp
+++ b/src/target_pool_upkeep.cpp
@@ -155,12 +155,14 @@
         e.links.end());
     const bool was_full = e.state.full;
     refresh_room(e);
-    if (was_full && !e.state.full)
+    const bool resumed = e.paused && now >= e.state.paused_until;
+    e.paused = e.paused && !resumed;
+    if ((was_full && !e.state.full) || resumed)
     {
         wake_waiter(*e.service);
     }
     log_rate(e, now);
-    if (e.state.blocked && !e.state.probing && !e.removed &&
+    if (e.state.blocked && !e.state.probing && !e.removed && !e.paused &&
         now >= e.state.probe_at)
     {
         probe(e);
--- a/tests/test_target_notices.cpp
+++ b/tests/test_target_notices.cpp
@@ -91,3 +91,43 @@
     ask();
     CHECK(leaving.received.size() == 2);
 }
+
+// Guards against requests to a target in the time in which it has asked for
+// none, and against callers that are not told how long that time is.
+TEST_CASE("a target gets no requests in the time of its Retry-After", "[entry]")
+{
+    entry_vm vm;
+    std::vector<monotonic_time> received_at;
+    stand_in_target target(vm.loop, "ta",
+        [&](const parsed_request& r) -> scripted_reply
+        {
+            received_at.push_back(monotonic_clock::now());
+            return received_at.size() == 1
+                       ? scripted_reply{http_text(503,
+                             "X-Not-Executed: 1\r\nRetry-After: 2.5\r\n", "")}
+                       : good(r, "p", "x");
+        });
+    vm.pool.put(target.record("s", "north"));
+    vm.adopt(1, {entry_vm::make_route("q", {"s"}, false, true)});
+    test_caller caller(vm.loop, vm.caller_address());
+    const auto ask = [&]
+    {
+        caller.send(get("/q/1", "r1"));
+        return caller.reply();
+    };
+    for (int i = 0; i < 2; ++i)
+    {
+        const http_reply refusal = ask();
+        CHECK(refusal.status == 503);
+        const std::string* after = find_field(refusal.fields, "Retry-After");
+        REQUIRE(after != nullptr);
+        CHECK(std::stod(*after) > 2.0);
+    }
+    CHECK(received_at.size() == 1);
+    // A request that can wait for the end of that time is served then.
+    while (ask().status != 200)
+    {
+    }
+    REQUIRE(received_at.size() == 2);
+    CHECK(received_at[1] - received_at[0] >= 2500ms);
+}
