--- a/tests/test_target_notices.cpp
+++ b/tests/test_target_notices.cpp
@@ -131,3 +131,36 @@
     REQUIRE(received_at.size() == 2);
     CHECK(received_at[1] - received_at[0] >= 2500ms);
 }
+
+// Guards against callers that take what a target asks of the VMs for the
+// tier's own word, and wait although another replica is free.
+TEST_CASE("what a target asks of the VMs does not reach callers", "[entry]")
+{
+    entry_vm vm;
+    stand_in_target target(vm.loop, "ta",
+        [](const parsed_request& r) -> scripted_reply
+        {
+            const std::string status = header_value(r, "X-Status");
+            return {http_text(std::stoi(status),
+                "X-Response-Stamp: p\r\nServer-Limit: 1000\r\n"
+                "Server-Leaving: 0\r\nRetry-After: 9\r\nX-Other: 1\r\n",
+                "x")};
+        });
+    vm.pool.put(target.record("s", "north"));
+    vm.adopt(1, {entry_vm::make_route("q", {"s"}, false, false)});
+    test_caller caller(vm.loop, vm.caller_address());
+    for (const std::string status : {"200", "429", "503"})
+    {
+        CAPTURE(status);
+        caller.send(get("/q/1", "r1", "X-Status: " + status + "\r\n"));
+        const http_reply reply = caller.reply();
+        CHECK(reply.status == std::stoi(status));
+        CHECK(find_field(reply.fields, "Server-Limit") == nullptr);
+        CHECK(find_field(reply.fields, "Server-Leaving") == nullptr);
+        CHECK(find_field(reply.fields, "X-Other") != nullptr);
+        // Only with a 503 is it meant for the VM.
+        const bool has_retry_after =
+            find_field(reply.fields, "Retry-After") != nullptr;
+        CHECK(has_retry_after == (status != "503"));
+    }
+}
