Tell the ordering VM what its delegate's targets ask for

Cause: an entry VM that asks targets through a VM of another zone passes their replies on, but did not see what they say of themselves. It could then send directly to a target that leaves, or beyond the part of a rate limit, and heard of a limit's end only by a request of its own. Change: the reply to an order names the rate limit of an asked target, its end for 10 s, and that the target leaves, with the start of its process.

--- a/src/config.hpp
+++ b/src/config.hpp
@@ -496,6 +496,8 @@
 // Part of a shared rate for the VMs of the target's zone.
 inline constexpr double own_zone_rate_share = 0.6;
 inline constexpr auto max_send_interval = 1h;
+// Time for which VMs tell each other that a target's rate limit has ended.
+inline constexpr auto rate_limit_end_notice = 10s;
 // A time to send at a shared rate expires this long after it has passed unused.
 inline constexpr auto unused_send_lifetime = 500ms;
 // Times the error or shed rate, added to 1. A rate of one in four outweighs the
--- a/src/entry_query.hpp
+++ b/src/entry_query.hpp
@@ -101,6 +101,8 @@
     void
     on_delegate_reply(order_id id, delegate_reply&& reply);
     void
+    accept_notices(const std::vector<gather_part>& parts);
+    void
     accept_parts(
         const delegation& from, const std::string& vm_id, gather_parts&& parts);
     /// Sends to a shard for which the delegate returned no reply, or marks it
--- a/src/entry_query_delegate.cpp
+++ b/src/entry_query_delegate.cpp
@@ -168,10 +168,25 @@
     send_first(from.shard_indices);
 }
 
+/// A limit ends only by a reply to a later request, and the order went out
+/// after the start of the query.
+void
+entry_query::accept_notices(const std::vector<gather_part>& parts)
+{
+    for (const gather_part& part : parts)
+    {
+        if (part.notice)
+        {
+            context_.pool.put_notice(*part.notice, started_);
+        }
+    }
+}
+
 void
 entry_query::accept_parts(
     const delegation& from, const std::string& vm_id, gather_parts&& parts)
 {
+    accept_notices(parts.parts);
     const monotonic_time now = monotonic_clock::now();
     std::vector<std::string> handed_back;
     for (std::size_t i = 0; i < from.shard_indices.size(); ++i)
@@ -270,6 +285,7 @@
         return;
     }
     const delegation& from = *taken;
+    accept_notices(reply.parts.parts);
     for (std::size_t i = 0; i < from.shard_indices.size(); ++i)
     {
         shard_query& shard = shards_[from.shard_indices[i]];
--- a/src/gather_job.cpp
+++ b/src/gather_job.cpp
@@ -137,6 +137,7 @@
     { self->on_result(shard, std::move(result)); };
     shard_send& s = sends_[shard];
     s.open = true;
+    s.target_id = target->record.id;
     s.id = context_.pool.send(*target, std::move(order));
 }
 
@@ -146,6 +147,7 @@
     shard_send& s = sends_[shard];
     s.open = false;
     s.part.state = state_of(result);
+    s.part.notice = context_.pool.notice_of(s.target_id);
     if (s.part.state == part_state::answered)
     {
         s.part.proof = std::move(result.reply.proof);
--- a/src/gather_job.hpp
+++ b/src/gather_job.hpp
@@ -51,6 +51,7 @@
     struct shard_send
     {
         send_id id = 0;
+        std::string target_id;
         bool open = false;
         bool reported = false; ///< the reply was passed to the ordering VM
         gather_part part;
--- a/src/gather_order.cpp
+++ b/src/gather_order.cpp
@@ -121,6 +121,49 @@
     }
 }
 
+namespace
+{
+
+/// Lists the notices with the index of their part.
+json
+encode_notices(const std::vector<gather_part>& parts)
+{
+    json out = json::array();
+    for (std::size_t i = 0; i < parts.size(); ++i)
+    {
+        if (const auto& notice = parts[i].notice)
+        {
+            out.push_back({i, notice->target_id, notice->started_ms,
+                notice->rate_limit ? json(*notice->rate_limit) : json(),
+                notice->leaving});
+        }
+    }
+    return out;
+}
+
+void
+decode_notices(const json& notices, std::vector<gather_part>& parts)
+{
+    for (const json& value : notices)
+    {
+        shared_notice notice;
+        notice.target_id = value.at(1).get<std::string>();
+        notice.started_ms = value.at(2).get<std::uint64_t>();
+        if (!value.at(3).is_null())
+        {
+            notice.rate_limit = std::max(value.at(3).get<double>(), 0.0);
+        }
+        notice.leaving = value.at(4).get<bool>();
+        const auto index = value.at(0).get<std::size_t>();
+        if (index < parts.size())
+        {
+            parts[index].notice = std::move(notice);
+        }
+    }
+}
+
+} // namespace
+
 std::string
 encode_parts(const gather_parts& parts)
 {
@@ -138,12 +181,16 @@
             bodies.push_back(binary(part.records));
         }
     }
+    json message{{"states", std::move(states)}, {"proofs", std::move(proofs)},
+        {"times", std::move(times)}, {"bodies", std::move(bodies)},
+        {"rest", parts.rest}, {"records", binary(parts.records)}};
+    json notices = encode_notices(parts.parts);
+    if (!notices.empty())
+    {
+        message["notices"] = std::move(notices);
+    }
     std::string out;
-    json::to_cbor(
-        json{{"states", std::move(states)}, {"proofs", std::move(proofs)},
-            {"times", std::move(times)}, {"bodies", std::move(bodies)},
-            {"rest", parts.rest}, {"records", binary(parts.records)}},
-        out);
+    json::to_cbor(message, out);
     return out;
 }
 
@@ -173,6 +220,10 @@
             }
             out.parts.push_back(std::move(part));
         }
+        if (value.contains("notices"))
+        {
+            decode_notices(value.at("notices"), out.parts);
+        }
         out.records = bytes_of(value.at("records"));
         out.rest = value.at("rest").get<std::uint64_t>();
         return out;
--- a/src/gather_order.hpp
+++ b/src/gather_order.hpp
@@ -39,6 +39,15 @@
     count
 };
 
+/// What a VM knows of the requests that a target takes from all VMs.
+struct shared_notice
+{
+    std::string target_id;
+    std::uint64_t started_ms = 0;     ///< of the target's process
+    std::optional<double> rate_limit; ///< none if it has ended
+    bool leaving = false;
+};
+
 /// Result of one shard.
 struct gather_part
 {
@@ -46,6 +55,8 @@
     std::string proof;   ///< set if answered
     duration took{};     ///< reply time of the target, set if answered
     std::string records; ///< only in late replies, which are not merged
+    /// What the asked target wants of all VMs, if there is anything to tell.
+    std::optional<shared_notice> notice{};
 };
 
 /// Reply to an order, or to a request for its late replies.
--- a/src/target_choice.cpp
+++ b/src/target_choice.cpp
@@ -217,17 +217,17 @@
     }
     const bool changed = target.rate_limit != notice.rate_limit;
     target.rate_limit = notice.rate_limit;
-    target.rate_limit_at = notice.rate_limit ? now : target.rate_limit_at;
+    if (notice.rate_limit)
+    {
+        target.rate_limit_at = now;
+    }
+    else
+    {
+        target.rate_limit_end = now;
+    }
     return changed;
 }
 
-void
-record_recovered(target_state& target)
-{
-    target.blocked = false;
-    target.probing = false;
-    target.failures = 0;
-}
 void
 record_pause(
     target_state& target, const target_notice& notice, monotonic_time now)
@@ -239,6 +239,13 @@
     }
 }
 
+void
+record_recovered(target_state& target)
+{
+    target.blocked = false;
+    target.probing = false;
+    target.failures = 0;
+}
 
 void
 record_probe_failed(target_state& target, monotonic_time now)
--- a/src/target_pool.hpp
+++ b/src/target_pool.hpp
@@ -2,6 +2,7 @@
 
 #include "decision_log.hpp"
 #include "extra_load_window.hpp"
+#include "gather_order.hpp"
 #include "gather_plan.hpp"
 #include "metrics.hpp"
 #include "relay_plan.hpp"
@@ -160,6 +161,16 @@
     wait_for_room(const std::string& service, monotonic_time stale_at,
         std::function<bool()> ready);
 
+    /// Returns what the target wants of all VMs, or nullopt if that is what any
+    /// VM assumes. For a while, the end of a rate limit is told as well.
+    std::optional<shared_notice>
+    notice_of(const std::string& target_id) const;
+
+    /// Takes over what another VM knows of a target from a reply to a request
+    /// sent after `sent_at`.
+    void
+    put_notice(const shared_notice& notice, monotonic_time sent_at);
+
     /// Returns whether the service has targets, all in other zones and all
     /// blocked as unreachable.
     bool
--- a/src/target_pool_reply.cpp
+++ b/src/target_pool_reply.cpp
@@ -62,6 +62,40 @@
     }
 }
 
+std::optional<shared_notice>
+target_pool::notice_of(const std::string& target_id) const
+{
+    const auto found = entries_.find(target_id);
+    if (found == entries_.end())
+    {
+        return std::nullopt;
+    }
+    const target_state& state = found->second->state;
+    const bool limit_ended =
+        state.rate_limit_end && monotonic_clock::now() - *state.rate_limit_end <
+                                    config::rate_limit_end_notice;
+    if (!state.rate_limit && !limit_ended && !state.said_leaving)
+    {
+        return std::nullopt;
+    }
+    return shared_notice{target_id, state.record.started_ms, state.rate_limit,
+        state.said_leaving};
+}
+
+void
+target_pool::put_notice(const shared_notice& notice, monotonic_time sent_at)
+{
+    const auto found = entries_.find(notice.target_id);
+    const bool same_process =
+        found != entries_.end() &&
+        found->second->state.record.started_ms == notice.started_ms;
+    if (same_process)
+    {
+        record_notice(*found->second,
+            {notice.rate_limit, std::nullopt, notice.leaving}, sent_at);
+    }
+}
+
 /// Excludes a target that says in a reply that it leaves. Its process does not
 /// come back from that, whatever its registration says.
 void
--- a/tests/test_gather_orders.cpp
+++ b/tests/test_gather_orders.cpp
@@ -195,6 +195,8 @@
     parts.parts.resize(3);
     parts.parts[1] = {part_state::answered, "proof", 7ms, {}};
     parts.parts[2].state = part_state::unknown;
+    parts.parts[1].notice = shared_notice{"t1", 17, 2.5, false};
+    parts.parts[2].notice = shared_notice{"t2", 18, std::nullopt, true};
     parts.parts[1].records = record('2');
     parts.rest = 9;
     parts.records = record('1');
@@ -204,6 +206,15 @@
     CHECK(back->parts[1].proof == "proof");
     CHECK(back->parts[1].took == 7ms);
     CHECK(back->parts[2].state == part_state::unknown);
+    CHECK(!back->parts[0].notice);
+    REQUIRE(back->parts[1].notice);
+    CHECK(back->parts[1].notice->target_id == "t1");
+    CHECK(back->parts[1].notice->started_ms == 17);
+    CHECK(back->parts[1].notice->rate_limit == 2.5);
+    CHECK(!back->parts[1].notice->leaving);
+    REQUIRE(back->parts[2].notice);
+    CHECK(!back->parts[2].notice->rate_limit);
+    CHECK(back->parts[2].notice->leaving);
     CHECK(back->records == record('1'));
     CHECK(back->parts[1].records == record('2'));
     CHECK(back->rest == 9);
@@ -478,3 +489,46 @@
         });
     CHECK(count(z.vm, counter::requests_gave_up) == 1);
 }
+
+// Guards against a VM that knows less of a target than the VM through which it
+// asked it: it would send more than the target's limit, or requests to a target
+// that leaves.
+TEST_CASE("a delegate passes on what targets ask of the VMs", "[entry]")
+{
+    three_zones z;
+    z.vm.delegates.set_vms({z.delegate.registration()});
+    const auto script = [](const std::string& header)
+    {
+        return [header](const parsed_request& r) -> scripted_reply
+        {
+            return {http_text(200,
+                "X-Request-Id: " + header_value(r, "X-Request-Id") +
+                    "\r\nX-Response-Stamp: " +
+                    header_value(r, "X-Expect-Instance") + "\r\n" + header,
+                record('1'))};
+        };
+    };
+    z.south.targets[0]->set_script(script("Server-Limit: 50\r\n"));
+    z.south.targets[1]->set_script(script("Server-Leaving: 1\r\n"));
+    CHECK(z.ask().status == 200);
+    REQUIRE(z.south.received() == 3);
+    REQUIRE(z.west.received() == 0);
+    const auto limit = [&]
+    { return z.vm.pool.targets_in("s0", "south").front()->rate_limit; };
+    CHECK(limit() == 50.0);
+    const auto chooses_south = [&](const std::string& service)
+    {
+        const auto tried = z.vm.pool.targets_in(service, "west");
+        return z.vm.pool.choose(service, tried) != nullptr;
+    };
+    CHECK(!chooses_south("s1"));
+    CHECK(chooses_south("s2"));
+    // The end of a limit is passed on as well.
+    z.south.targets[0]->set_script(script(""));
+    z.callers.back()->run_until(
+        [&]
+        {
+            z.ask();
+            return !limit();
+        });
+}
