Test that bramleymuxd's HTTP client takes no cut reply for a whole one

Cause: operators of a similar system report that a server stopped in the middle of its answer's head and callers got a 200 with an empty body. Change: a test that cuts replies with a length and in chunks after each byte of head and body. The entry path and the messages between VMs, which use the same reader, have such a test already. A reply whose zero-size last chunk has arrived is whole (RFC 9112, 8), so a cut of the line after it is not an error for this client; the entry path rejects that too.

--- a/tests/test_http_client.cpp
+++ b/tests/test_http_client.cpp
@@ -317,3 +317,30 @@
     CHECK(wrong_replies == 0);
     CHECK(server.accepted() == 3);
 }
+
+// Guards against a reply that is cut in its head or body and passes for a whole
+// one with an empty or short body.
+TEST_CASE("a reply that is cut in its head or body is an error", "[http]")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nX-Snapshot: 4\r\n";
+    const std::string last_chunk = "0\r\n";
+    const std::vector<std::string> replies{
+        head + "Content-Length: 10\r\n\r\n0123456789",
+        head +
+            "Transfer-Encoding: chunked\r\n\r\n"
+            "4\r\n0123\r\n6\r\n456789\r\n" +
+            last_chunk,
+        head +
+            "Transfer-Encoding: chunked\r\n\r\n"
+            "a\r\n0123456789\r\n" +
+            last_chunk};
+    for (const std::string& reply : replies)
+    {
+        for (std::size_t length = 0; length < reply.size(); ++length)
+        {
+            CAPTURE(reply, length);
+            CHECK(error_of(reply_with(reply.substr(0, length), false)) !=
+                  http_errc::ok);
+        }
+    }
+}
