Keep a rate limit that changes from reply to reply

Each new limit started the schedule of sends at a random time within one interval, so with a limit that differs in each reply half of each wait was lost and a VM sent nearly twice its part. A delegate also passed on what it knew of a target that had not replied to this order, which may be older than what the ordering VM knows. Change: another limit, or another part of it, changes the rest of the wait in proportion. A delegate tells only what it knows from a reply.

--- a/src/gather_job.cpp
+++ b/src/gather_job.cpp
@@ -147,7 +147,13 @@
     shard_send& s = sends_[shard];
     s.open = false;
     s.part.state = state_of(result);
-    s.part.notice = context_.pool.notice_of(s.target_id);
+    const bool replied = result.reply.status != 0;
+    if (replied)
+    {
+        // Otherwise what this VM knows may be older than what the ordering VM
+        // knows.
+        s.part.notice = context_.pool.notice_of(s.target_id);
+    }
     if (s.part.state == part_state::answered)
     {
         s.part.proof = std::move(result.reply.proof);
--- a/src/target_choice.cpp
+++ b/src/target_choice.cpp
@@ -122,6 +122,12 @@
     return config::rate_limit_share * limit * target.rate_part;
 }
 
+duration
+limited_interval(const target_state& target)
+{
+    return send_interval(limited_rate(target));
+}
+
 /// Cost without the surcharges of its place.
 double
 cost_of_state(const target_state& target, const choice_context& context)
@@ -208,24 +214,41 @@
 
 bool
 record_rate_limit(target_state& target, const target_notice& notice,
-    monotonic_time sent_at, monotonic_time now)
+    monotonic_time sent_at, monotonic_time now, std::mt19937_64& random)
 {
     const bool outdated = !notice.rate_limit && sent_at <= target.rate_limit_at;
     if (outdated || (!notice.rate_limit && !target.rate_limit))
     {
         return false;
     }
-    const bool changed = target.rate_limit != notice.rate_limit;
+    const std::optional<double> former_limit = target.rate_limit;
+    const duration former_interval = limited_interval(target);
     target.rate_limit = notice.rate_limit;
-    if (notice.rate_limit)
+    if (!notice.rate_limit)
+    {
+        target.rate_limit_end = now;
+        return true;
+    }
+    target.rate_limit_at = now;
+    const duration interval = limited_interval(target);
+    if (former_limit)
     {
-        target.rate_limit_at = now;
+        rescale_schedule(target.limited_sends, former_interval, interval, now);
     }
     else
     {
-        target.rate_limit_end = now;
+        start_schedule(target.limited_sends, interval, now, random);
     }
-    return changed;
+    return former_limit != notice.rate_limit;
+}
+
+void
+set_rate_part(target_state& target, double part, monotonic_time now)
+{
+    const duration former_interval = limited_interval(target);
+    target.rate_part = part;
+    rescale_schedule(
+        target.limited_sends, former_interval, limited_interval(target), now);
 }
 
 void
@@ -346,9 +369,8 @@
     }
     if (target.rate_limit)
     {
-        at =
-            std::max(at, next_send(target.limited_sends,
-                             send_interval(limited_rate(target)), context.now));
+        at = std::max(at, next_send(target.limited_sends,
+                              limited_interval(target), context.now));
     }
     return at;
 }
@@ -424,17 +446,6 @@
     }
 }
 
-void
-start_limited_sends(
-    target_state& target, monotonic_time now, std::mt19937_64& random)
-{
-    if (target.rate_limit)
-    {
-        start_schedule(target.limited_sends,
-            send_interval(limited_rate(target)), now, random);
-    }
-}
-
 void
 spend_rates(target_state& target, const choice_context& context)
 {
@@ -445,8 +456,8 @@
     }
     if (target.rate_limit)
     {
-        record_send(target.limited_sends, send_interval(limited_rate(target)),
-            context.now);
+        record_send(
+            target.limited_sends, limited_interval(target), context.now);
     }
 }
 
--- a/src/target_choice.hpp
+++ b/src/target_choice.hpp
@@ -104,7 +104,11 @@
 /// last named it. Returns whether the limit changed.
 bool
 record_rate_limit(target_state& target, const target_notice& notice,
-    monotonic_time sent_at, monotonic_time now);
+    monotonic_time sent_at, monotonic_time now, std::mt19937_64& random);
+
+/// Sets this VM's part of the target's rate limit.
+void
+set_rate_part(target_state& target, double part, monotonic_time now);
 
 /// Pauses the requests of this VM to the target if the reply asks for it.
 void
@@ -203,12 +207,6 @@
 record_cold_start(target_state& target, duration left,
     const choice_context& context, std::mt19937_64& random);
 
-/// Starts the schedule of requests within the target's rate limit, for a new
-/// limit or another part of it.
-void
-start_limited_sends(
-    target_state& target, monotonic_time now, std::mt19937_64& random);
-
 /// Counts one request against this VM's rates for the target.
 void
 spend_rates(target_state& target, const choice_context& context);
--- a/src/target_pool_rate.cpp
+++ b/src/target_pool_rate.cpp
@@ -18,12 +18,7 @@
     shares.vms_elsewhere =
         vms_.total - std::min(vms_.total, shares.vms_in_zone);
     shares.same_zone = zone == options_.zone;
-    const double part = rate_part(shares);
-    if (part != e.state.rate_part)
-    {
-        e.state.rate_part = part;
-        start_limited_sends(e.state, monotonic_clock::now(), random_);
-    }
+    set_rate_part(e.state, rate_part(shares), monotonic_clock::now());
 }
 
 std::optional<duration>
--- a/src/target_pool_reply.cpp
+++ b/src/target_pool_reply.cpp
@@ -35,11 +35,8 @@
     entry& e, const target_notice& notice, monotonic_time sent_at)
 {
     const monotonic_time now = monotonic_clock::now();
-    const bool changed = record_rate_limit(e.state, notice, sent_at, now);
-    if (changed)
-    {
-        start_limited_sends(e.state, now, random_);
-    }
+    const bool changed =
+        record_rate_limit(e.state, notice, sent_at, now, random_);
     if (changed && log_.try_admit(event::target_rate_limit_changed, now))
     {
         log_.write(event::target_rate_limit_changed,
--- a/src/target_rate.cpp
+++ b/src/target_rate.cpp
@@ -39,6 +39,20 @@
         now + std::chrono::duration_cast<duration>(part(random) * interval);
 }
 
+void
+rescale_schedule(
+    send_schedule& schedule, duration from, duration to, monotonic_time now)
+{
+    const duration left = schedule.next - now;
+    if (left > duration::zero())
+    {
+        const double ratio =
+            static_cast<double>(to.count()) / static_cast<double>(from.count());
+        schedule.next =
+            now + std::chrono::duration_cast<duration>(left * ratio);
+    }
+}
+
 monotonic_time
 next_send(const send_schedule& schedule, duration interval, monotonic_time now)
 {
--- a/src/target_rate.hpp
+++ b/src/target_rate.hpp
@@ -46,6 +46,13 @@
 start_schedule(send_schedule& schedule, duration interval, monotonic_time now,
     std::mt19937_64& random);
 
+/// Changes the interval of a schedule. The wait for its next time changes in
+/// proportion, so that a rate that changes often is kept, and the VMs stay
+/// spread.
+void
+rescale_schedule(
+    send_schedule& schedule, duration from, duration to, monotonic_time now);
+
 /// Returns the earliest time of the schedule that has not expired by `now`.
 monotonic_time
 next_send(const send_schedule& schedule, duration interval, monotonic_time now);
--- a/tests/test_target_rate.cpp
+++ b/tests/test_target_rate.cpp
@@ -27,8 +27,9 @@
             view.record.zone = "north";
             view.record.slots = 4;
             view.rate_part = rate_part({in_zone, elsewhere, i < in_zone});
-            view.rate_limit = limit;
-            start_limited_sends(view, start, random_);
+            target_notice notice;
+            notice.rate_limit = limit;
+            record_rate_limit(view, notice, start, start, random_);
         }
     }
 
@@ -160,6 +161,32 @@
     }
 }
 
+// Guards against a schedule that starts anew whenever the target names another
+// limit: with a limit that changes in each reply, half of each wait was lost.
+TEST_CASE("a limit that changes in each reply is kept", "[entry]")
+{
+    std::mt19937_64 random(7);
+    target_state target;
+    choice_context context;
+    target_notice notice;
+    std::size_t sent = 0;
+    constexpr auto period = 60s;
+    for (duration t{}; t < period; t += 1ms)
+    {
+        context.now = start + t;
+        notice.rate_limit = sent % 2 == 0 ? 9.0 : 11.0;
+        if (t == duration::zero() ||
+            choose_target({&target}, context, random) != nullptr)
+        {
+            spend_rates(target, context);
+            record_rate_limit(target, notice, context.now, context.now, random);
+            ++sent;
+        }
+    }
+    CHECK(sent <= 60 * 10 + 1);
+    CHECK(sent > 60 * 8);
+}
+
 // Guards against a limit that is mostly unused because only the VMs of the
 // target's zone send to it while its replicas are well.
 TEST_CASE("the VMs of a target's zone may use most of its limit", "[entry]")
@@ -176,15 +203,17 @@
 // reply that the target gave before it named the limit.
 TEST_CASE("a rate limit holds as long as replies name it", "[entry]")
 {
+    std::mt19937_64 random(1);
     target_state target;
     target_notice limited;
     limited.rate_limit = 8.0;
-    CHECK(!record_rate_limit(target, {}, start, start + 1s));
-    CHECK(record_rate_limit(target, limited, start + 1s, start + 2s));
-    CHECK(!record_rate_limit(target, limited, start + 2s, start + 3s));
-    CHECK(!record_rate_limit(target, {}, start + 2500ms, start + 3500ms));
+    CHECK(!record_rate_limit(target, {}, start, start + 1s, random));
+    CHECK(record_rate_limit(target, limited, start + 1s, start + 2s, random));
+    CHECK(!record_rate_limit(target, limited, start + 2s, start + 3s, random));
+    CHECK(
+        !record_rate_limit(target, {}, start + 2500ms, start + 3500ms, random));
     CHECK(target.rate_limit == 8.0);
-    CHECK(record_rate_limit(target, {}, start + 3500ms, start + 4s));
+    CHECK(record_rate_limit(target, {}, start + 3500ms, start + 4s, random));
     CHECK(!target.rate_limit);
 }
 
