--- a/src/target_choice.cpp
+++ b/src/target_choice.cpp
@@ -122,6 +122,7 @@
     return config::rate_limit_share * limit * target.rate_part;
 }
 
+/// Time between two requests of this VM to a target that names a rate limit.
 duration
 limited_interval(const target_state& target)
 {
