--- a/tests/test_entry_stop.cpp
+++ b/tests/test_entry_stop.cpp
@@ -136,9 +136,8 @@
     CHECK(a.received.empty());
 }
 
-// Guards against a request that may not be repeated and is passed on so late in
-// a stop that the process exits before its answer: its caller would not learn
-// whether it ran. A refusal lets the caller go to another VM.
+// Guards against an unknown outcome that a refusal on arrival would have
+// spared.
 TEST_CASE(
     "a request that may not finish before the exit is not sent", "[entry]")
 {
@@ -173,8 +172,7 @@
     caller.run_until([&] { return stopped; });
 }
 
-// Guards against a rejected request that is sent once more so late in a stop
-// that the process exits before its answer.
+// Guards against an unknown outcome of a request that had not run so far.
 TEST_CASE(
     "a rejected request is not sent again shortly before the exit", "[entry]")
 {
--- a/tests/test_gather_orders.cpp
+++ b/tests/test_gather_orders.cpp
@@ -490,9 +490,7 @@
     CHECK(count(z.vm, counter::requests_gave_up) == 1);
 }
 
-// Guards against a VM that knows less of a target than the VM through which it
-// asked it: it would send more than the target's limit, or requests to a target
-// that leaves.
+// Guards against a VM that knows less of a target than its delegate does.
 TEST_CASE("a delegate passes on what targets ask of the VMs", "[entry]")
 {
     three_zones z;
--- a/tests/test_http_client.cpp
+++ b/tests/test_http_client.cpp
@@ -318,8 +318,7 @@
     CHECK(server.accepted() == 3);
 }
 
-// Guards against a reply that is cut in its head or body and passes for a whole
-// one with an empty or short body.
+// Guards against a cut reply that passes for a whole one with a shorter body.
 TEST_CASE("a reply that is cut in its head or body is an error", "[http]")
 {
     const std::string head = "HTTP/1.1 200 OK\r\nX-Snapshot: 4\r\n";
--- a/tests/test_target_notices.cpp
+++ b/tests/test_target_notices.cpp
@@ -53,8 +53,7 @@
     CHECK(!limited.received.empty());
 }
 
-// Guards against new requests to a target that has said that it leaves: the
-// platform's store may tell so later, or not at all.
+// Guards against trust in the registration alone, which may come late or not.
 TEST_CASE("a target that says it leaves gets no more requests", "[entry]")
 {
     entry_vm vm;
@@ -92,8 +91,7 @@
     CHECK(leaving.received.size() == 2);
 }
 
-// Guards against requests to a target in the time in which it has asked for
-// none, and against callers that are not told how long that time is.
+// Guards against requests that a target has asked not to get, and false waits.
 TEST_CASE("a target gets no requests in the time of its Retry-After", "[entry]")
 {
     entry_vm vm;
@@ -132,8 +130,7 @@
     CHECK(received_at[1] - received_at[0] >= 2500ms);
 }
 
-// Guards against callers that take what a target asks of the VMs for the
-// tier's own word, and wait although another replica is free.
+// Guards against callers that wait although another replica is free.
 TEST_CASE("what a target asks of the VMs does not reach callers", "[entry]")
 {
     entry_vm vm;
--- a/tests/test_target_rate.cpp
+++ b/tests/test_target_rate.cpp
@@ -118,8 +118,7 @@
     CHECK(rate_part({2, 6, true}) > rate_part({2, 6, false}));
 }
 
-// Guards against a target that gets more than its limit from all VMs together,
-// although each keeps to a limit of its own.
+// Guards against limits of single VMs that add up to more than the target's.
 TEST_CASE("all VMs together stay within a target's rate limit", "[entry]")
 {
     for (const double limit : {0.0, 0.5, 1.0, 5.0, 30.0, 400.0})
@@ -141,8 +140,7 @@
     }
 }
 
-// Guards against a burst at a limited target when its replicas fail: VMs that
-// had no use for it must not all have a request left for that moment.
+// Guards against a burst of all VMs when the replicas of a limited target fail.
 TEST_CASE("unused requests of a limited target are not saved up", "[entry]")
 {
     for (const double limit : {1.0, 5.0, 30.0})
@@ -161,8 +159,7 @@
     }
 }
 
-// Guards against a schedule that starts anew whenever the target names another
-// limit: with a limit that changes in each reply, half of each wait was lost.
+// Guards against a schedule that starts anew with each change of the limit.
 TEST_CASE("a limit that changes in each reply is kept", "[entry]")
 {
     std::mt19937_64 random(7);
@@ -187,8 +184,7 @@
     CHECK(sent > 60 * 8);
 }
 
-// Guards against a limit that is mostly unused because only the VMs of the
-// target's zone send to it while its replicas are well.
+// Guards against a limit that is mostly left to VMs that have no use for it.
 TEST_CASE("the VMs of a target's zone may use most of its limit", "[entry]")
 {
     sending_fleet fleet(2, 6, 30.0);
@@ -199,8 +195,7 @@
     CHECK(fleet.sent() > 60 * 30 / 2);
 }
 
-// Guards against a limit that outlasts the target's need, or ends because of a
-// reply that the target gave before it named the limit.
+// Guards against a limit that outlasts its need, or ends by an older reply.
 TEST_CASE("a rate limit holds as long as replies name it", "[entry]")
 {
     std::mt19937_64 random(1);
@@ -217,8 +212,7 @@
     CHECK(!target.rate_limit);
 }
 
-// Guards against a burst at a cold target when its replicas fail, by VMs that
-// had no use for it before.
+// Guards against a burst of all VMs when the replicas of a cold target fail.
 TEST_CASE("unused requests of a cold target are not saved up", "[entry]")
 {
     constexpr std::size_t vms = 80;
