Count the VMs of a target's zone in one place

Cause: the divisions of connections and of rates counted them alike, twice. Change: split_vms serves both.

--- a/src/target_pool.hpp
+++ b/src/target_pool.hpp
@@ -244,6 +244,9 @@
     any_usable(const std::string& service, choice_scope scope, Test test) const;
     choice_context
     context_of(const service_state* service) const;
+    /// Counts the VMs as seen from a target in `zone`.
+    vm_split
+    split_vms(const std::string& zone) const;
     /// Updates this VM's part of the target's connections.
     void
     plan_links_of(entry& e);
--- a/src/target_pool_rate.cpp
+++ b/src/target_pool_rate.cpp
@@ -8,17 +8,22 @@
 namespace bramleymux
 {
 
+vm_split
+target_pool::split_vms(const std::string& zone) const
+{
+    const auto in_zone = vms_.by_zone.find(zone);
+    vm_split out;
+    out.in_zone = in_zone == vms_.by_zone.end() ? 0 : in_zone->second;
+    out.elsewhere = vms_.total - std::min(vms_.total, out.in_zone);
+    out.same_zone = zone == options_.zone;
+    return out;
+}
+
 void
 target_pool::plan_rate_of(entry& e)
 {
-    const std::string& zone = e.state.record.zone;
-    const auto in_zone = vms_.by_zone.find(zone);
-    rate_shares shares;
-    shares.vms_in_zone = in_zone == vms_.by_zone.end() ? 0 : in_zone->second;
-    shares.vms_elsewhere =
-        vms_.total - std::min(vms_.total, shares.vms_in_zone);
-    shares.same_zone = zone == options_.zone;
-    set_rate_part(e.state, rate_part(shares), monotonic_clock::now());
+    set_rate_part(e.state, rate_part(split_vms(e.state.record.zone)),
+        monotonic_clock::now());
 }
 
 std::optional<duration>
--- a/src/target_pool_room.cpp
+++ b/src/target_pool_room.cpp
@@ -15,13 +15,12 @@
 void
 target_pool::plan_links_of(entry& e)
 {
-    const std::string& zone = e.state.record.zone;
-    const auto in_zone = vms_.by_zone.find(zone);
+    const vm_split vms = split_vms(e.state.record.zone);
     link_plan plan;
     plan.connections = e.service->rule.max_connections;
-    plan.vms_in_zone = in_zone == vms_.by_zone.end() ? 0 : in_zone->second;
-    plan.vms_elsewhere = vms_.total - std::min(vms_.total, plan.vms_in_zone);
-    plan.same_zone = zone == options_.zone;
+    plan.vms_in_zone = vms.in_zone;
+    plan.vms_elsewhere = vms.elsewhere;
+    plan.same_zone = vms.same_zone;
     plan.position = std::fmod(vms_.zone_position + e.hash, 1.0);
     const std::size_t links = planned_links(plan);
     e.state.unplanned = links == 0;
--- a/src/target_rate.cpp
+++ b/src/target_rate.cpp
@@ -9,16 +9,16 @@
 {
 
 double
-rate_part(const rate_shares& shares)
+rate_part(const vm_split& vms)
 {
-    const auto near = static_cast<double>(shares.vms_in_zone);
-    const auto far = static_cast<double>(shares.vms_elsewhere);
+    const auto near = static_cast<double>(vms.in_zone);
+    const auto far = static_cast<double>(vms.elsewhere);
     if (near == 0.0 || far == 0.0)
     {
         return 1.0 / std::max(near + far, 1.0);
     }
-    return shares.same_zone ? config::own_zone_rate_share / near
-                            : (1.0 - config::own_zone_rate_share) / far;
+    return vms.same_zone ? config::own_zone_rate_share / near
+                         : (1.0 - config::own_zone_rate_share) / far;
 }
 
 duration
--- a/src/target_rate.hpp
+++ b/src/target_rate.hpp
@@ -16,11 +16,11 @@
 namespace bramleymux
 {
 
-/// Registered VMs, as the division of a target's rate sees them.
-struct rate_shares
+/// Registered VMs that share what a target takes from all of them.
+struct vm_split
 {
-    std::size_t vms_in_zone = 0; ///< in the target's zone
-    std::size_t vms_elsewhere = 0;
+    std::size_t in_zone = 0; ///< in the target's zone
+    std::size_t elsewhere = 0;
     bool same_zone = false; ///< this VM is in the target's zone
 };
 
@@ -28,7 +28,7 @@
 /// The VMs of the target's zone get most of it, as they send most of its
 /// requests.
 double
-rate_part(const rate_shares& shares);
+rate_part(const vm_split& vms);
 
 /// Evenly spaced times at which one VM may send to a target.
 struct send_schedule
