Keep an interval between the sends at an enormous rate limit

Cause: found when the whole change was read once more. Change: the interval is at least one tick of the clock.

--- a/src/target_rate.cpp
+++ b/src/target_rate.cpp
@@ -26,8 +26,9 @@
 {
     const std::chrono::duration<double> longest = config::max_send_interval;
     const double seconds = 1.0 / std::max(rate, 1.0 / longest.count());
-    return std::chrono::duration_cast<duration>(
+    const auto interval = std::chrono::duration_cast<duration>(
         std::chrono::duration<double>(seconds));
+    return std::max(interval, duration(1));
 }
 
 void
--- a/src/target_rate.hpp
+++ b/src/target_rate.hpp
@@ -36,8 +36,8 @@
     monotonic_time next{}; ///< earliest unused time
 };
 
-/// Returns the time between two requests at `rate` requests/s, at most
-/// `config::max_send_interval`.
+/// Returns the time between two requests at `rate` requests/s: more than zero,
+/// and at most `config::max_send_interval`.
 duration
 send_interval(double rate);
 
--- a/tests/test_target_rate.cpp
+++ b/tests/test_target_rate.cpp
@@ -246,3 +246,12 @@
         REQUIRE(static_cast<double>(sent.size()) <= rate * 1.5 + 5.0);
     }
 }
+
+// Guards against a division by zero when a target names an enormous limit.
+TEST_CASE("an enormous rate limit leaves an interval between sends", "[entry]")
+{
+    CHECK(send_interval(1e300) > duration::zero());
+    send_schedule schedule{start};
+    const duration interval = send_interval(1e300);
+    CHECK(next_send(schedule, interval, start + 1h) <= start + 1h);
+}
