Read every object of the store for itself

Cause: a list or a watch was parsed whole, and one string or number that cannot be read made the parser refuse all of it. Each spec was then written out again by json::dump, which recurses once a level and exhausts the stack at some ten thousand levels. Change: json_scan splits a page into its objects without parsing them and without recursion; each spec is checked for itself for its depth, size, Unicode and numbers before it is parsed, also when a relay passes it on. An object that cannot be read has an empty payload, so an earlier spec of it is not used either; one without a readable name is left out, and a log line names its place. The same on related paths: a target needs all its fields, an address with a port that can be connected to; an order must be that of its service and last some time; counts of a report must be possible; names are encoded in paths and queries; an order in progress survives an unreadable successor.

--- a/src/config.hpp
+++ b/src/config.hpp
@@ -420,6 +420,10 @@
 inline constexpr auto default_header_timeout = 5s;
 inline constexpr auto default_idle_timeout = 30s;
 
+// Objects of the platform's store. Other programs write there as well.
+inline constexpr std::size_t max_json_depth = 32;
+inline constexpr std::size_t max_object_name_bytes = kib;
+
 // Relays: VMs that follow the store and serve its changes to other VMs.
 inline constexpr std::size_t change_relays_per_zone = 3;
 // A VM with fewer healthy relays follows the store itself.
