Take no deleted object from a relay that is behind

Cause: a view took in an object that it did not know at any revision. A full delta of another relay deletes only objects up to the revision of that relay's last list, which may be minutes old, since a watch did not raise it. So a relay that was behind could add a deleted object, and nothing removed it. Change: a watch raises the revision up to which a kind is known, and relays pass it on. An object that the view lacks is taken in only if it is newer than that revision, or if the list or full delta that names it is.

--- a/src/change_hub.cpp
+++ b/src/change_hub.cpp
@@ -90,12 +90,18 @@
 }
 
 void
-change_hub::apply_change(const store_change& change)
+change_hub::apply_changes(const std::string& kind,
+    const std::vector<store_change>& changes, std::uint64_t revision)
 {
-    if (apply(view_, change, monotonic_clock::now()))
+    const monotonic_time now = monotonic_clock::now();
+    for (const store_change& change : changes)
     {
-        publish({change});
+        if (apply(view_, change, now))
+        {
+            publish({change});
+        }
     }
+    raise_revision(view_, kind, revision);
 }
 
 void
--- a/src/change_hub.hpp
+++ b/src/change_hub.hpp
@@ -50,8 +50,11 @@
     void
     apply_list(const std::string& kind,
         const std::vector<store_change>& objects, std::uint64_t revision);
+    /// Applies the changes of a watch, after which all objects of the kind are
+    /// known as of `revision`.
     void
-    apply_change(const store_change& change);
+    apply_changes(const std::string& kind,
+        const std::vector<store_change>& changes, std::uint64_t revision);
     /// Records whether a call to the store succeeded.
     void
     record_store_result(bool succeeded);
--- a/src/change_view.cpp
+++ b/src/change_view.cpp
@@ -41,12 +41,19 @@
     return out;
 }
 
-void
-raise_revision(
-    change_view& view, const std::string& kind, std::uint64_t revision)
+std::uint64_t
+known_revision(const change_view& view, const std::string& kind)
 {
-    std::uint64_t& known = view.revisions[kind];
-    known = std::max(known, revision);
+    const auto found = view.revisions.find(kind);
+    return found == view.revisions.end() ? 0 : found->second;
+}
+
+/// Returns whether an object that is not in the view was deleted: the view
+/// holds all objects of the kind as of a later revision.
+bool
+is_known_deleted(const change_view& view, const store_change& change)
+{
+    return change.revision <= known_revision(view, change.kind);
 }
 
 store_change
@@ -63,12 +70,21 @@
 
 } // namespace
 
+void
+raise_revision(
+    change_view& view, const std::string& kind, std::uint64_t revision)
+{
+    std::uint64_t& known = view.revisions[kind];
+    known = std::max(known, revision);
+}
+
 bool
 apply(change_view& view, const store_change& change, monotonic_time now)
 {
     const auto key = std::make_pair(change.kind, change.name);
     const auto found = view.items.find(key);
-    if (found == view.items.end() && change.deleted)
+    if (found == view.items.end() &&
+        (change.deleted || is_known_deleted(view, change)))
     {
         return false;
     }
@@ -90,6 +106,12 @@
 {
     std::vector<store_change> out;
     std::set<std::string> present;
+    if (revision >= known_revision(view, kind))
+    {
+        // The list is no older than the view, so it may add objects that the
+        // view has missed.
+        view.revisions.erase(kind);
+    }
     for (const store_change& object : objects)
     {
         present.insert(object.name);
--- a/src/change_view.hpp
+++ b/src/change_view.hpp
@@ -58,17 +58,25 @@
 };
 
 /// Applies a change. Returns false if the view has the same or a newer state of
-/// the object, or if the change deletes an object that is not in the view.
+/// the object, if the change deletes an object that is not in the view, or if
+/// the view lacks the object though it holds the kind as of a later revision:
+/// the object was deleted, and the source of the change is behind.
 bool
 apply(change_view& view, const store_change& change, monotonic_time now);
 
-/// Replaces all objects of a kind as of `revision`; newer objects stay. Returns
+/// Replaces all objects of a kind as of `revision`; newer objects stay. A list
+/// that is older than the view adds no objects that were deleted since. Returns
 /// the changes, including deletions.
 std::vector<store_change>
 replace_kind(change_view& view, const std::string& kind,
     const std::vector<store_change>& objects, std::uint64_t revision,
     monotonic_time now);
 
+/// Records that the view holds all objects of the kind as of `revision`.
+void
+raise_revision(
+    change_view& view, const std::string& kind, std::uint64_t revision);
+
 /// Returns the changes after `sequence`, or a full delta if the cursor belongs
 /// to another instance or is older than a pruned deletion.
 change_delta
--- a/tests/test_change_hub.cpp
+++ b/tests/test_change_hub.cpp
@@ -146,6 +146,57 @@
     CHECK(test::holds(21, 300, property));
 }
 
+// Guards against a target that has left and is used again because one relay,
+// cut off from the store, still lists it.
+TEST_CASE("a source that is behind adds no deleted object", "[entry]")
+{
+    // The object was registered at revision 12 and deleted at revision 21.
+    change_view behind;
+    behind.epoch = 1;
+    replace_kind(
+        behind, "servers", {object("gone", 12), object("a", 5)}, 13, start);
+    change_view current;
+    current.epoch = 2;
+    replace_kind(current, "servers", {object("a", 5)}, 13, start);
+    apply(current, object("gone", 12), start);
+    apply(current, object("gone", 12, true), start);
+    raise_revision(current, "servers", 21);
+    prune_deletions(current, start + 2min);
+    const std::map<std::string, std::uint64_t> expected{{"a", 5}};
+
+    change_view behind_first;
+    merge_delta(behind_first, delta_since(behind, 0, 0), start);
+    merge_delta(behind_first, delta_since(current, 0, 0), start);
+    CHECK(live_objects(behind_first) == expected);
+
+    change_view behind_last;
+    merge_delta(behind_last, delta_since(current, 0, 0), start);
+    merge_delta(behind_last, delta_since(behind, 0, 0), start);
+    CHECK(live_objects(behind_last) == expected);
+
+    // A change that the source behind passes on later has no effect either.
+    merge_delta(behind_last,
+        {1, 3, false, {{"servers", 13}}, {object("gone", 12)}}, start);
+    CHECK(live_objects(behind_last) == expected);
+}
+
+// Guards against an object that stays unknown after a watch missed it: a list
+// that is as new as the view adds it.
+TEST_CASE("a current list adds an object that the view missed", "[entry]")
+{
+    change_view view;
+    replace_kind(view, "servers", {object("a", 5)}, 10, start);
+    CHECK(!apply(view, object("missed", 8), start));
+    replace_kind(
+        view, "servers", {object("a", 5), object("missed", 8)}, 10, start);
+    CHECK(live_objects(view) ==
+          std::map<std::string, std::uint64_t>{{"a", 5}, {"missed", 8}});
+    // A stale list neither adds nor deletes.
+    replace_kind(view, "servers", {object("old", 3)}, 4, start);
+    CHECK(live_objects(view) ==
+          std::map<std::string, std::uint64_t>{{"a", 5}, {"missed", 8}});
+}
+
 // Guards against a malformed delta of a peer that crashes the process.
 TEST_CASE("malformed deltas are refused", "[entry]")
 {
@@ -319,8 +370,8 @@
 
     // One relay loses the store; the others pass the change on.
     relays[0]->hub.record_store_result(false);
-    relays[1]->hub.apply_change(object("b", 2));
-    relays[2]->hub.apply_change(object("b", 2));
+    relays[1]->hub.apply_changes("servers", {object("b", 2)}, 2);
+    relays[2]->hub.apply_changes("servers", {object("b", 2)}, 2);
     run_until([&] { return follower.revisions["b"] == 2; });
     CHECK(!follower.follows);
 
