Refuse the polls of followers soon after the store falls silent

Cause: a relay answers polls with "no changes" until a call of its own fails. A watch without changes shows a cut only at its end, after 5.5 s, and the last reply counted for 6 s. A follower turned to the store only after three refusals with delays between them. A refusal of a relay that has replied before makes it unhealthy at once. A VM that starts waits for two relays, or for its own list. The hub can be refreshed: its sources are asked anew, and until they reply it refuses polls; the handler of a timer that had expired before no longer starts a second call.

--- a/src/change_hub.cpp
+++ b/src/change_hub.cpp
@@ -29,6 +29,12 @@
     return value;
 }
 
+duration
+share_of(duration whole, double share)
+{
+    return std::chrono::duration_cast<duration>(whole * share);
+}
+
 } // namespace
 
 /// A relay that this VM polls.
@@ -46,6 +52,8 @@
     std::uint64_t epoch = 0;
     std::uint64_t sequence = 0;
     std::uint32_t failures = 0; ///< since the last delta
+    std::uint64_t waits = 0;    ///< identifies the last wait on `timer`
+    bool has_replied = false;   ///< with a delta, at least once
 
     bool
     is_healthy() const
@@ -59,7 +67,9 @@
     std::set<std::string> kinds, hub_handlers handlers)
     : loop_(loop), metrics_(counters), log_(log), vm_id_(std::move(vm_id)),
       zone_(std::move(zone)), handlers_(std::move(handlers)),
-      unlisted_kinds_(std::move(kinds))
+      kinds_(std::move(kinds)), unlisted_kinds_(kinds_),
+      data_max_age_(
+          share_of(config::default_leave_bound, config::relay_data_age_share))
 {
     // Never 0: a follower without a delta polls with epoch 0.
     view_.epoch = std::random_device{}() | 1U;
@@ -87,6 +97,7 @@
     publish(
         replace_kind(view_, kind, objects, revision, monotonic_clock::now()));
     unlisted_kinds_.erase(kind);
+    unconfirmed_kinds_.erase(kind);
 }
 
 void
@@ -115,14 +126,45 @@
     }
 }
 
+void
+change_hub::record_store_reply()
+{
+    last_store_reply_at_ = monotonic_clock::now();
+}
+
+void
+change_hub::set_data_max_age(duration age)
+{
+    data_max_age_ = age;
+}
+
+void
+change_hub::refresh()
+{
+    unconfirmed_kinds_ = kinds_;
+    for (const auto& r : relays_)
+    {
+        ++r->waits;
+        r->timer.cancel();
+        r->channel.cancel();
+        poll(*r);
+    }
+    if (follows_store_)
+    {
+        set_following(false);
+        set_following(true);
+    }
+}
+
 /// Returns whether this VM may answer polls: it follows the store, is not
 /// stopping, knows the objects of every kind, and its last call to the store
-/// succeeded and was recent.
+/// succeeded and was recent. A VM that is cut off from the store refuses polls
+/// soon, so that its followers turn to other relays or to the store.
 bool
 change_hub::is_current(monotonic_time now) const
 {
     return follows_store_ && !store_failed_ && !stopping_ && is_synced() &&
-           now - last_store_reply_at_ < config::relay_data_max_age;
+           is_confirmed() && now - last_store_reply_at_ < data_max_age_;
 }
 
 void
@@ -171,20 +213,35 @@
         reply.status == status_ok ? decode_delta(reply.body) : std::nullopt;
     const bool was_healthy = r.is_healthy();
     // A poll without a reply makes a relay unhealthy at once, since a relay
-    // answers every poll before the timeout, also without changes.
-    r.failures = delta ? 0
-                 : reply.status == 0 && !reply.unsent
-                     ? config::relay_max_failures
-                     : r.failures + 1;
+    // answers every poll before the timeout, also without changes. So does a
+    // refusal, unless the relay may still be starting.
+    const bool silent = reply.status == 0 && !reply.unsent;
+    const bool not_current =
+        reply.status == status_unavailable && r.has_replied;
+    r.failures = delta                   ? 0
+                 : silent || not_current ? config::relay_max_failures
+                                         : r.failures + 1;
     if (delta)
     {
+        r.has_replied = true;
         r.epoch = delta->epoch;
         r.sequence = delta->sequence;
         last_update_at_ = monotonic_clock::now();
         publish(merge_delta(view_, *delta, monotonic_clock::now()));
+        // A single relay may be behind: it may list objects that were deleted
+        // while it was cut off.
+        const auto replied = static_cast<std::size_t>(
+            std::count_if(relays_.begin(), relays_.end(),
+                [](const auto& other) { return other->has_replied; }));
+        const bool enough =
+            replied >= std::min(config::min_healthy_relays, relays_.size());
         for (const auto& [kind, revision] : delta->revisions)
         {
-            unlisted_kinds_.erase(kind);
+            unconfirmed_kinds_.erase(kind);
+            if (enough)
+            {
+                unlisted_kinds_.erase(kind);
+            }
         }
     }
     if (r.is_healthy() != was_healthy)
@@ -195,10 +252,11 @@
         delta ? duration::zero() : duration(config::relay_retry_delay));
     // `set_vms` may destroy the relay while this handler is queued.
     r.timer.async_wait(
-        [this, id = r.id](boost::system::error_code error)
+        [this, id = r.id, wait = ++r.waits](boost::system::error_code error)
         {
             const auto found = std::find_if(relays_.begin(), relays_.end(),
-                [&](const auto& candidate) { return candidate->id == id; });
+                [&](const auto& candidate)
+                { return candidate->id == id && candidate->waits == wait; });
             if (!error && found != relays_.end())
             {
                 poll(**found);
@@ -228,13 +286,19 @@
     {
         return;
     }
-    follows_store_ = follow;
+    set_following(follow);
     if (log_.try_admit(event::store_followed, now))
     {
         log_.write(event::store_followed,
             {{"follow", follow}, {"relay", plan_.is_relay},
                 {"sound_relays", healthy}, {"relays", relays_.size()}});
     }
+}
+
+void
+change_hub::set_following(bool follow)
+{
+    follows_store_ = follow;
     handlers_.follow_store(follow);
 }
 
--- a/src/change_hub.hpp
+++ b/src/change_hub.hpp
@@ -55,9 +55,22 @@
     void
     apply_changes(const std::string& kind,
         const std::vector<store_change>& changes, std::uint64_t revision);
-    /// Records whether a call to the store succeeded.
+    /// Records whether a call of a feed succeeded.
     void
     record_store_result(bool succeeded);
+    /// Records that the store replied, so that this VM still reaches it.
+    void
+    record_store_reply();
+
+    /// Sets the age of the last reply from the store beyond which this VM
+    /// refuses polls.
+    void
+    set_data_max_age(duration age);
+
+    /// Asks the sources anew. Until they have replied, what this VM knows is
+    /// unconfirmed: it refuses polls.
+    void
+    refresh();
 
     /// Sets the registered VMs, from which the relays are chosen.
     void
@@ -83,6 +96,21 @@
         return unlisted_kinds_.empty();
     }
 
+    /// Returns whether the sources have replied for every kind since the last
+    /// `refresh`.
+    bool
+    is_confirmed() const
+    {
+        return unconfirmed_kinds_.empty();
+    }
+
+    /// Returns when the store last replied to this VM itself.
+    monotonic_time
+    last_store_reply_at() const
+    {
+        return last_store_reply_at_;
+    }
+
     /// Returns when the store or a relay last replied.
     monotonic_time
     last_update_at() const
@@ -111,6 +139,8 @@
     void
     publish(const std::vector<store_change>& changes);
     void
+    set_following(bool follow);
+    void
     poll(relay& r);
     void
     on_poll(relay& r, call_reply&& reply);
@@ -129,10 +159,13 @@
     hub_handlers handlers_;
     change_view view_;
     relay_plan plan_;
-    std::set<std::string> unlisted_kinds_;
+    std::set<std::string> kinds_;
+    std::set<std::string> unlisted_kinds_;    ///< not received yet
+    std::set<std::string> unconfirmed_kinds_; ///< since the last `refresh`
     std::vector<std::unique_ptr<relay>> relays_;
     std::uint64_t last_relay_id_ = 0;
     std::list<pending_poll> pending_polls_;
+    duration data_max_age_;
     monotonic_time last_store_reply_at_{};
     monotonic_time last_update_at_{};
     monotonic_time last_change_at_{};
--- a/src/config.hpp
+++ b/src/config.hpp
@@ -437,9 +437,12 @@
 // Polls are answered once the view has not changed for this time, so that
 // changes in quick succession go out in one reply.
 inline constexpr auto relay_batch_delay = 30ms;
-// A relay whose last reply from the store is older refuses polls. Must exceed
-// the wait of a watch.
-inline constexpr auto relay_data_max_age = 6s;
+// Shares of the bound on requests to leaving targets: a relay whose last reply
+// from the store is older than the first probes the store, and refuses polls
+// once it is older than the second. The rest of the bound is left to followers,
+// which then list the store themselves.
+inline constexpr double store_probe_age_share = 0.25;
+inline constexpr double relay_data_age_share = 0.4;
 // Least time that a VM follows the store itself, so that an unsteady relay
 // causes few calls.
 inline constexpr auto min_follow_store_time = 8s;
--- a/src/target_pool.hpp
+++ b/src/target_pool.hpp
@@ -89,6 +89,12 @@
     void
     set_options(pool_options options);
 
+    const pool_options&
+    options() const
+    {
+        return options_;
+    }
+
     /// Adds or updates a registration; one with an invalid address is ignored.
     void
     put(const target_record& record);
--- a/tests/test_change_hub.cpp
+++ b/tests/test_change_hub.cpp
@@ -1,4 +1,5 @@
 #include "change_hub.hpp"
+#include "config.hpp"
 #include "entry_fixture.hpp"
 #include "property.hpp"
 
@@ -365,8 +366,8 @@
                 return done();
             });
     };
-    run_until([&] { return follower.revisions["a"] == 1; });
-    CHECK(follower.hub.is_synced());
+    run_until([&] { return follower.hub.is_synced(); });
+    CHECK(follower.revisions["a"] == 1);
 
     // One relay loses the store; the others pass the change on.
     relays[0]->hub.record_store_result(false);
@@ -380,6 +381,150 @@
     run_until([&] { return follower.follows; });
 }
 
+namespace
+{
+
+/// Three relays that have listed the same object, and a VM that polls them.
+struct relayed_fleet
+{
+    relayed_fleet()
+    {
+        for (int i = 0; i < 3; ++i)
+        {
+            const std::string id = "r" + std::to_string(i);
+            relays.push_back(std::make_unique<hub_vm>(parts.loop, parts, id));
+            vms.push_back(relays.back()->registration(id));
+        }
+        const std::string id = follower_id(vms);
+        follower = std::make_unique<hub_vm>(parts.loop, parts, id);
+        vms.push_back(follower->registration(id));
+        for (const auto& relay : relays)
+        {
+            relay->hub.set_vms(vms);
+            relay->hub.record_store_result(true);
+            relay->hub.apply_list("servers", {object("a", 1)}, 1);
+        }
+    }
+
+    void
+    run_until(const std::function<bool()>& done)
+    {
+        test_caller runner(parts.loop, parts.caller_address());
+        runner.run_until(
+            [&]
+            {
+                for (const auto& relay : relays)
+                {
+                    relay->hub.tick();
+                }
+                follower->hub.tick();
+                return done();
+            });
+    }
+
+    /// Returns the status of the reply to a poll, 0 while there is none.
+    static std::shared_ptr<int>
+    poll(hub_vm& relay)
+    {
+        const auto status = std::make_shared<int>(0);
+        relay.hub.serve_poll("/v1/changes?epoch=0&after=0",
+            [status](http_reply&& reply) { *status = reply.status; });
+        return status;
+    }
+
+    entry_vm parts;
+    std::vector<std::unique_ptr<hub_vm>> relays;
+    std::vector<registered_vm> vms;
+    std::unique_ptr<hub_vm> follower;
+};
+
+} // namespace
+
+// Guards against a VM that starts with the targets of a single relay, which may
+// be cut off from the store.
+TEST_CASE("a starting VM hears more than one relay", "[entry]")
+{
+    relayed_fleet fleet;
+    fleet.relays[1]->hub.record_store_result(false);
+    fleet.relays[2]->hub.record_store_result(false);
+    fleet.follower->hub.set_vms(fleet.vms);
+    fleet.run_until([&] { return fleet.follower->revisions["a"] == 1; });
+    CHECK(!fleet.follower->hub.is_synced());
+    fleet.relays[1]->hub.record_store_result(true);
+    fleet.run_until([&] { return fleet.follower->hub.is_synced(); });
+}
+
+// Guards against followers of relays that are cut off from the store and go on
+// answering "no changes" until a call fails.
+TEST_CASE(
+    "a relay that the store leaves without replies refuses polls", "[entry]")
+{
+    relayed_fleet fleet;
+    hub_vm& relay = *fleet.relays[0];
+    relay.hub.set_data_max_age(100ms);
+    const auto current = fleet.poll(relay);
+    fleet.run_until([&] { return *current == 200; });
+    const auto end = monotonic_clock::now() + 120ms;
+    fleet.run_until([&] { return monotonic_clock::now() > end; });
+    CHECK(*fleet.poll(relay) == 503);
+    relay.hub.record_store_reply();
+    CHECK(*fleet.poll(relay) == 200);
+}
+
+// Guards against a VM that goes on with what refusing relays told it before,
+// instead of reading the store itself.
+TEST_CASE("a VM whose relays refuse turns to the store at once", "[entry]")
+{
+    relayed_fleet fleet;
+    fleet.follower->hub.set_vms(fleet.vms);
+    fleet.run_until([&] { return fleet.follower->hub.is_synced(); });
+    CHECK(!fleet.follower->follows);
+    const auto refused_at = monotonic_clock::now();
+    fleet.relays[0]->hub.record_store_result(false);
+    fleet.relays[1]->hub.record_store_result(false);
+    fleet.run_until([&] { return fleet.follower->follows; });
+    // Three refusals in a row would take two retry delays at the least.
+    CHECK(monotonic_clock::now() - refused_at < 2 * config::relay_retry_delay);
+}
+
+// Guards against a relay that passes on, after a pause of its process, what it
+// knew before.
+TEST_CASE(
+    "a relay refuses polls after a refresh until it has listed", "[entry]")
+{
+    relayed_fleet fleet;
+    hub_vm& relay = *fleet.relays[0];
+    CHECK(*fleet.poll(relay) == 200);
+    relay.follows = false;
+    relay.hub.refresh();
+    CHECK(relay.follows); // the feeds were started anew
+    CHECK(!relay.hub.is_confirmed());
+    CHECK(*fleet.poll(relay) == 503);
+    relay.hub.record_store_result(true);
+    CHECK(*fleet.poll(relay) == 503);
+    relay.hub.apply_list("servers", {object("a", 1)}, 3);
+    CHECK(relay.hub.is_confirmed());
+    CHECK(*fleet.poll(relay) == 200);
+}
+
+// Guards against a follower that takes the reply to a poll from before a pause
+// for current.
+TEST_CASE("a follower is confirmed by a poll sent after a refresh", "[entry]")
+{
+    relayed_fleet fleet;
+    fleet.follower->hub.set_vms(fleet.vms);
+    fleet.run_until([&] { return fleet.follower->hub.is_synced(); });
+    CHECK(fleet.follower->hub.is_confirmed());
+    fleet.follower->hub.refresh();
+    CHECK(!fleet.follower->hub.is_confirmed());
+    for (const auto& relay : fleet.relays)
+    {
+        relay->hub.apply_changes("servers", {object("b", 2)}, 2);
+    }
+    fleet.run_until([&] { return fleet.follower->hub.is_confirmed(); });
+    CHECK(fleet.follower->revisions["b"] == 2);
+}
+
 TEST_CASE("a relay that is dropped while its poll is due is not used again",
     "[entry]")
 {
