Confirm what a VM knows after a pause of its process

Cause: the verdict `completed` needed only the elapsed time and no suspicion. A VM that goes on after a pause decides before it has read the reports written meanwhile, and a verdict that it reached before is written after it. A rollout gets more than the small share, is completed, or is withdrawn on a suspicion only on evidence that is confirmed and no older than 3 s; this also covers a VM that is cut off. The verdict `completed` is reviewed until the store shows it.

--- a/src/config.hpp
+++ b/src/config.hpp
@@ -415,6 +415,13 @@
 // Period of the log lines on the rate of a target with a rate limit.
 inline constexpr auto rate_log_period = 1s;
 
+// A process that did not run for this time was stopped or suspended; what it
+// knows may have changed meanwhile.
+inline constexpr auto entry_pause_threshold = 1s;
+// A rollout is completed only on reports of other VMs received within this
+// time.
+inline constexpr auto rollout_evidence_max_age = 3s;
+
 // Caller connections, until a desired state sets other values.
 inline constexpr std::size_t default_header_bytes = 16 * kib;
 inline constexpr auto default_header_timeout = 5s;
--- a/src/log_events.cpp
+++ b/src/log_events.cpp
@@ -129,6 +129,15 @@
         {1511, level::info, "target_paused",
             "A target rejected a request and takes none of this VM for a "
             "time."},
+        {1008, level::warning, "process_resumed",
+            "The process did not run for a while; it confirms what it knows "
+            "before it passes it on or decides by it."},
+        {1009, level::error, "handler_failed",
+            "A handler ended with an exception; the process goes on."},
+        {1010, level::warning, "listen_failed",
+            "A port could not be opened; this is tried again."},
+        {1011, level::warning, "accept_failed",
+            "A connection could not be accepted; this is tried again."},
     }};
 
 spdlog::level::level_enum
--- a/src/log_events.hpp
+++ b/src/log_events.hpp
@@ -70,6 +70,10 @@
     target_rate_limit_changed,
     target_rate,
     target_paused,
+    process_resumed,
+    handler_failed,
+    listen_failed,
+    accept_failed,
     count
 };
 
--- a/src/rollout.cpp
+++ b/src/rollout.cpp
@@ -70,7 +70,8 @@
     {
         return 0.0;
     }
-    if (fraction < config::rollout_ramp_at || is_suspected(progress.counts))
+    if (fraction < config::rollout_ramp_at || is_suspected(progress.counts) ||
+        !progress.evidence_current)
     {
         return canary;
     }
@@ -89,7 +90,8 @@
 verdict_of(const rollout_progress& progress, const rollout_limits& limits)
 {
     const double fraction = elapsed_fraction(progress);
-    const bool late = fraction >= config::rollout_withdraw_at;
+    const bool late =
+        fraction >= config::rollout_withdraw_at && progress.evidence_current;
     if (is_bad(progress.counts) || (late && is_suspected(progress.counts)))
     {
         return rollout_state::withdrawn;
--- a/src/rollout.hpp
+++ b/src/rollout.hpp
@@ -60,6 +60,9 @@
     duration elapsed{}; ///< since this VM first read the order
     duration time_limit{};
     rollout_counts counts;
+    /// The reports of other VMs are recent. Without them, the version may have
+    /// turned bad since.
+    bool evidence_current = true;
 };
 
 /// Returns whether the evidence shows that the new version fails or is slow
@@ -71,11 +74,13 @@
 /// small one while evidence is collected, a larger one to test it under load,
 /// and 1 well before the time limit. The larger one falls back to the small one
 /// while the new version is near its bound, and any share does while the
-/// version is suspected of being bad. Once it is found bad, the share is 0.
+/// version is suspected of being bad or the evidence is not current. Once it is
+/// found bad, the share is 0.
 double
 share_at(const rollout_progress& progress, const rollout_limits& limits);
 
-/// Returns the state that the rollout should have now.
+/// Returns the state that the rollout should have now. Without current evidence
+/// it is `running`, unless the version is known to be bad.
 rollout_state
 verdict_of(const rollout_progress& progress, const rollout_limits& limits);
 
--- a/src/rollout_controller.cpp
+++ b/src/rollout_controller.cpp
@@ -131,14 +131,18 @@
 rollout_controller::decide(rollout& r, monotonic_time now)
 {
     const rollout_counts counts = pooled_counts(r.order);
-    const rollout_progress progress{
-        now - r.seen_at, r.order.time_limit, counts};
-    if (r.verdict == rollout_state::running)
+    const rollout_progress progress{now - r.seen_at, r.order.time_limit, counts,
+        handlers_.is_evidence_current()};
+    const bool written = r.order.acknowledged && r.order.state == r.verdict;
+    const bool open = r.verdict == rollout_state::running ||
+                      (r.verdict == rollout_state::completed && !written);
+    const rollout_state next = open ? verdict_of(progress, limits_) : r.verdict;
+    if (next != r.verdict)
     {
-        r.verdict = verdict_of(progress, limits_);
-        if (r.verdict != rollout_state::running)
+        r.verdict = next;
+        r.decided_at = now;
+        if (next != rollout_state::running)
         {
-            r.decided_at = now;
             log_verdict(r, counts);
         }
     }
--- a/src/rollout_controller.hpp
+++ b/src/rollout_controller.hpp
@@ -36,6 +36,9 @@
     /// Called with true when reports of other VMs are needed, with false when
     /// they no longer are.
     std::function<void(bool)> follow_reports;
+    /// Returns whether the orders and the reports of other VMs are as the store
+    /// has them, but for a short delay.
+    std::function<bool()> is_evidence_current;
 };
 
 class rollout_controller
@@ -79,6 +82,8 @@
         monotonic_time next_write_at{};
     };
 
+    /// Updates the verdict and the share. The verdict `completed` is reviewed
+    /// until the store shows it, since evidence may arrive before the write.
     void
     decide(rollout& r, monotonic_time now);
     void
--- a/tests/test_rollout.cpp
+++ b/tests/test_rollout.cpp
@@ -1,4 +1,6 @@
+#include "config.hpp"
 #include "entry_fixture.hpp"
+#include "process_pause.hpp"
 #include "rollout_controller.hpp"
 #include "store_objects.hpp"
 
@@ -69,13 +71,15 @@
               {[this](const rollout_order& o, rollout_state s)
                   { states.emplace_back(o.revision, s); },
                   [this](const rollout_report& r) { reports.push_back(r); },
-                  [this](bool follow) { follows = follow; }})
+                  [this](bool follow) { follows = follow; },
+                  [this] { return evidence_current; }})
     {
     }
 
     std::vector<std::pair<std::uint64_t, rollout_state>> states;
     std::vector<rollout_report> reports;
     bool follows = false;
+    bool evidence_current = true;
     rollout_controller controller;
 };
 
@@ -232,6 +236,54 @@
     CHECK(t.choices(50).count("none") == 0);
 }
 
+// Guards against a VM that completes the rollout of a bad version on what it
+// knew before a pause of its process or a cut.
+TEST_CASE(
+    "a rollout is not completed on evidence that is not current", "[entry]")
+{
+    for (const double part : {0.3, 0.5, 0.8, 0.95, 1.5})
+    {
+        INFO(part);
+        rollout_progress p = progress(part, healthy);
+        p.evidence_current = false;
+        CHECK(verdict_of(p, limits) == rollout_state::running);
+        CHECK(
+            share_at(p, limits) == config::rollout_canary_part * limits.share);
+        p.counts = failing;
+        CHECK(verdict_of(p, limits) == rollout_state::withdrawn);
+        CHECK(share_at(p, limits) == 0.0);
+    }
+}
+
+// Guards against a verdict from before a pause that is written after it.
+TEST_CASE("a verdict that is not written yet is reviewed", "[entry]")
+{
+    two_versions t;
+    recorded_controller c(t, "vm-5");
+    // The ranks delay the write of this VM.
+    c.controller.set_vms({"vm-1", "vm-2", "vm-5"});
+    rollout_order order = t.order(rollout_state::running, true);
+    order.time_limit = 1ms;
+    c.controller.put(order);
+    test_caller runner(t.vm.loop, t.vm.caller_address());
+    const auto wait = [&]
+    {
+        const auto end = monotonic_clock::now() + 20ms;
+        runner.run_until([&] { return monotonic_clock::now() > end; });
+    };
+    wait();
+    c.controller.tick();
+    CHECK(t.choices(20)["t-new"] == 20);
+    c.evidence_current = false;
+    c.controller.tick();
+    CHECK(t.choices(100)["t-new"] == 5);
+    c.evidence_current = true;
+    c.controller.take_report("vm-2", {{{"s", "v2", 3, failing}}});
+    c.controller.tick();
+    CHECK(t.choices(50)["t-new"] == 0);
+    CHECK(c.states.empty());
+}
+
 // Guards against all VMs writing the same verdict at once.
 TEST_CASE("VMs stagger the writes of a verdict", "[entry]")
 {
@@ -243,6 +295,18 @@
     CHECK(last.states.empty());
 }
 
+// Guards against a pause that goes unnoticed, and against a slow event loop
+// that passes for one.
+TEST_CASE("a pause of the process is noticed", "[entry]")
+{
+    pause_watch watch{10s};
+    CHECK(!has_paused(watch, 10s + 900ms));
+    CHECK(has_paused(watch, 11s));
+    note_running(watch, 11s);
+    CHECK(!has_paused(watch, 11s + 50ms));
+    CHECK(boot_time() >= monotonic_clock::now().time_since_epoch() - 1s);
+}
+
 // Guards against misreading an order, and against applying the state of an
 // earlier order to this one.
 TEST_CASE("rollout orders are read from the store's objects", "[platform]")
