--- a/src/config.hpp
+++ b/src/config.hpp
@@ -376,6 +376,14 @@
 inline constexpr auto tcp_user_timeout = 3s;
 inline constexpr std::size_t max_reply_header_bytes = 32 * kib;
 inline constexpr int listen_backlog = 512;
+// At a start, a port may still be held by the process before this one.
+inline constexpr auto listen_retry_time = 10s;
+inline constexpr auto listen_retry_period = 200ms;
+// Pause after a failed accept, which fails at once while no descriptor is left.
+inline constexpr auto accept_retry_delay = 50ms;
+// At a start, the settings file may still be being written.
+inline constexpr auto settings_retry_time = 2s;
+inline constexpr auto settings_retry_period = 50ms;
 inline constexpr auto settings_check_period = 2s;
 // The process exits this long before the end of its grace time, at which it
 // would be killed.
--- a/src/entry_server.cpp
+++ b/src/entry_server.cpp
@@ -48,34 +48,73 @@
 entry_server::listen(const std::string& callers, const std::string& readiness,
     const std::string& metrics, const std::string& peers)
 {
-    const auto add = [&](const std::string& address, listener::kind kind)
+    planned_listeners_ = {{callers, listener::kind::callers, true},
+        {readiness, listener::kind::local, true},
+        {metrics, listener::kind::local, false},
+        {peers, listener::kind::peers, true}};
+    open_planned_listeners();
+    return is_listening();
+}
+
+bool
+entry_server::is_listening() const
+{
+    return std::none_of(planned_listeners_.begin(), planned_listeners_.end(),
+        [](const planned_listener& p) { return p.required; });
+}
+
+void
+entry_server::open_planned_listeners()
+{
+    next_listen_at_ = monotonic_clock::now() + config::listen_retry_period;
+    std::vector<planned_listener> failed;
+    for (const planned_listener& planned : planned_listeners_)
     {
-        const auto endpoint = parse_endpoint(address);
-        if (!endpoint)
+        if (!planned.address.empty() && !open(planned))
         {
-            return address.empty();
+            failed.push_back(planned);
         }
-        auto l = std::make_unique<listener>(context_.loop, kind);
-        error_code error;
-        l->acceptor.open(endpoint->protocol(), error);
-        l->acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-        l->acceptor.bind(*endpoint, error);
+    }
+    planned_listeners_ = std::move(failed);
+}
+
+bool
+entry_server::open(const planned_listener& planned)
+{
+    auto l = std::make_unique<listener>(context_.loop, planned.role);
+    const auto endpoint = parse_endpoint(planned.address);
+    error_code error = endpoint
+                           ? error_code()
+                           : make_error_code(asio::error::invalid_argument);
+    const auto step = [&](auto&& action)
+    {
         if (!error)
         {
-            l->acceptor.listen(config::listen_backlog, error);
+            action();
         }
-        if (error)
+    };
+    step([&] { l->acceptor.open(endpoint->protocol(), error); });
+    step([&]
+        { l->acceptor.set_option(tcp::acceptor::reuse_address(true), error); });
+    step([&] { l->acceptor.bind(*endpoint, error); });
+    step([&] { l->acceptor.listen(config::listen_backlog, error); });
+    if (error)
+    {
+        if (context_.log.try_admit(
+                event::listen_failed, monotonic_clock::now()))
         {
-            return false;
+            context_.log.write(event::listen_failed,
+                {{"address", planned.address},
+                    {"listener", listener::kind_names[static_cast<std::size_t>(
+                                     planned.role)]},
+                    {"reason", error.message()},
+                    {"required", planned.required}});
         }
-        listeners_.push_back(std::move(l));
-        accept(*listeners_.back());
-        return true;
-    };
-    return add(callers, listener::kind::callers) &&
-           add(readiness, listener::kind::local) &&
-           add(metrics, listener::kind::local) &&
-           add(peers, listener::kind::peers);
+        return false;
+    }
+    listeners_.push_back(std::move(l));
+    accept(*listeners_.back());
+    return true;
 }
 
 void
@@ -109,14 +148,38 @@
             {
                 return;
             }
-            if (!error)
+            if (error)
             {
-                on_accept(from, std::move(socket));
+                if (context_.log.try_admit(
+                        event::accept_failed, monotonic_clock::now()))
+                {
+                    context_.log.write(
+                        event::accept_failed, {{"reason", error.message()}});
+                }
+                retry_accept(from);
+                return;
             }
+            on_accept(from, std::move(socket));
             accept(from);
         });
 }
 
+/// Accepts again after a delay. Without a free descriptor each accept fails at
+/// once, and repeating it would take the whole processor.
+void
+entry_server::retry_accept(listener& from)
+{
+    from.retry_timer.expires_after(config::accept_retry_delay);
+    from.retry_timer.async_wait(
+        [this, &from](error_code error)
+        {
+            if (!error)
+            {
+                accept(from);
+            }
+        });
+}
+
 void
 entry_server::on_accept(listener& from, tcp::socket&& socket)
 {
--- a/src/entry_server.hpp
+++ b/src/entry_server.hpp
@@ -35,12 +35,18 @@
     entry_server(entry_context& context, stop_times times);
     ~entry_server();
 
-    /// Opens the listeners (IP:port; none for an empty address). Returns false
-    /// at the first address that cannot be bound.
+    /// Opens the listeners (IP:port; none for an empty address). Logs an
+    /// address that cannot be opened; `tick` tries it again. Returns
+    /// `is_listening`.
     bool
     listen(const std::string& callers, const std::string& readiness,
         const std::string& metrics, const std::string& peers);
 
+    /// Returns whether all listeners are open that the VM needs: all but that
+    /// of the metrics.
+    bool
+    is_listening() const;
+
     /// Sets the handler of other VMs' requests, except for orders. It may
     /// answer later. Must be set before the first such request.
     void
@@ -81,11 +87,19 @@
 private:
     friend class caller_connection;
     struct listener;
+    struct planned_listener;
     struct open_connection;
 
+    /// Opens a listener, or logs why it cannot be opened and returns false.
+    bool
+    open(const planned_listener& planned);
+    void
+    open_planned_listeners();
     void
     accept(listener& from);
     void
+    retry_accept(listener& from);
+    void
     on_accept(listener& from, boost::asio::ip::tcp::socket&& socket);
     /// Accepts the connections in the listen backlogs. Returns whether there
     /// were any.
@@ -133,6 +147,8 @@
     stop_times times_;
     std::shared_ptr<const desired_state> state_;
     std::vector<std::unique_ptr<listener>> listeners_;
+    std::vector<planned_listener> planned_listeners_; ///< not open yet
+    monotonic_time next_listen_at_{};
     std::list<open_connection> connections_;
     std::list<std::weak_ptr<entry_query>> queries_; ///< maybe ended since
     /// Orders in progress, by id.
--- a/src/entry_server_stop.cpp
+++ b/src/entry_server_stop.cpp
@@ -59,6 +59,10 @@
 entry_server::tick()
 {
     const monotonic_time now = monotonic_clock::now();
+    if (!planned_listeners_.empty() && now >= next_listen_at_)
+    {
+        open_planned_listeners();
+    }
     update_cut_off();
     update_readiness();
     for (auto it = jobs_.begin(); it != jobs_.end();)
