Believe no rejection without an id after replies with one

Callers saw, with stand-ins: sixty late copies of a rejection without an id made unsafe requests run twice. Cause: a reply without an id and without a proof was taken for the one to the request in progress, so a late copy of a rejection said "not run" of a request that ran, and it was sent to another target. Change: on a connection whose target has echoed an id, a rejection without one ends the connection with an unknown outcome.

--- a/src/target_link.cpp
+++ b/src/target_link.cpp
@@ -209,6 +209,15 @@
         }
         return;
     }
+    const bool unattributed = !request_id_.empty() && echoes_ids_ &&
+                              decoded.request_id.empty() && decoded.not_run;
+    if (unattributed)
+    {
+        // It may be a late copy of an earlier rejection. The request may run,
+        // so it is neither sent again nor called rejected.
+        finish(link_outcome::malformed, {});
+        return;
+    }
     echoes_ids_ = echoes_ids_ || !decoded.request_id.empty();
     finish(link_outcome::reply, std::move(decoded));
 }
--- a/tests/test_kept_connections.cpp
+++ b/tests/test_kept_connections.cpp
@@ -208,6 +208,22 @@
     CHECK(other.received.empty());
 }
 
+// Guards against a second run of a request that a late copy of an earlier
+// rejection, without an id, makes appear as not run.
+TEST_CASE("a late rejection without an id rejects no request", "[entry]")
+{
+    kept_connection kept(false);
+    stand_in_target other(kept.vm.loop, "tb",
+        [](const parsed_request& r) { return good(r, "pb", "second run"); });
+    kept.vm.pool.put(other.record("s", "far"));
+    kept.caller.send(request("r2"));
+    kept.target.write(kept.next_request(),
+        http_text(503, "X-Not-Executed: 1\r\n", "") + reply_to("r2"));
+    // The request may have run, which neither 503 nor a second run allows.
+    CHECK(kept.caller.reply().status == 502);
+    CHECK(other.received.empty());
+}
+
 // Guards against the reply to a hedged send, passed to the next caller.
 TEST_CASE("the late reply of an abandoned send reaches no caller", "[entry]")
 {
