Read every page of the VMs' list, and probe the store at intervals

Cause: the list of VMs was read up to its first page, so that VMs on later pages were missed once entries of replaced VMs fill it. Change: the list is read to its end. Only relays probe, at the interval of a quarter of the bound on leaving targets at most. Result: a test for each passes. Entries of VMs that are gone are still not removed.

--- a/src/change_hub.hpp
+++ b/src/change_hub.hpp
@@ -88,6 +88,13 @@
         return follows_store_;
     }
 
+    /// Returns whether other VMs poll this one.
+    bool
+    is_relay() const
+    {
+        return plan_.is_relay;
+    }
+
     /// Returns whether the objects of every kind were received at least once,
     /// by a list of the store or from a relay.
     bool
--- a/tests/test_platform_adapter.cpp
+++ b/tests/test_platform_adapter.cpp
@@ -1,3 +1,4 @@
+#include "config.hpp"
 #include "entry_fixture.hpp"
 #include "platform_source.hpp"
 #include "store_objects.hpp"
@@ -220,6 +221,77 @@
         });
 }
 
+// Guards against VMs that miss each other once the entries of VMs that are gone
+// fill the first page of the list.
+TEST_CASE("VMs on later pages of the list are found", "[platform]")
+{
+    entry_vm vm;
+    stand_in_store empty(vm.loop);
+    const auto entry = [](const std::string& id)
+    { return object_json(id, 3, R"({"zone":"z","peer":"127.0.0.1:9"})"); };
+    stand_in_target store(vm.loop, "store",
+        [&](const parsed_request& request) -> scripted_reply
+        {
+            if (request.method != "GET" ||
+                request.path.find("/bramleymux-vms?") == std::string::npos)
+            {
+                return empty.answer(request);
+            }
+            const bool later =
+                request.path.find("after=vm-1") != std::string::npos;
+            return json_reply(
+                R"({"items":[)" +
+                (later ? entry("vm-2") + "," + entry("vm-3") : entry("vm-1")) +
+                R"(],"hasMore":)" + (later ? "false" : "true") + R"(,"at":5})");
+        });
+    std::size_t found = 0;
+    platform::vm_registry registry(vm.loop, store.address(), vm.counters,
+        {"vm-1", "z", "127.0.0.1:9"},
+        [&](const std::vector<registered_vm>& vms)
+        { found = std::max(found, vms.size()); });
+    registry.start();
+    test_caller runner(vm.loop, vm.caller_address());
+    runner.run_until([&] { return found == 3; });
+}
+
+// Guards against probes that follow each other without a pause while the store
+// refuses them, which it charges for.
+TEST_CASE("a store that refuses calls is probed at intervals", "[platform]")
+{
+    entry_vm vm;
+    std::size_t probes = 0;
+    bool refuses = false;
+    stand_in_store empty(vm.loop);
+    stand_in_target store(vm.loop, "store",
+        [&](const parsed_request& request) -> scripted_reply
+        {
+            const bool probe =
+                request.method == "GET" &&
+                request.path.find("vms/vm-1") != std::string::npos;
+            probes += probe ? 1 : 0;
+            return refuses || probe ? scripted_reply{http_text(503, "", "")}
+                                    : empty.answer(request);
+        });
+    platform::platform_source source(vm.loop, store.address(),
+        {"vm-1", "north", "127.0.0.1:1"}, rollout_limits{}, vm.context,
+        vm.server);
+    source.start();
+    test_caller runner(vm.loop, vm.caller_address());
+    const auto start = monotonic_clock::now();
+    runner.run_until(
+        [&]
+        {
+            source.tick();
+            refuses = vm.server.state() != nullptr;
+            return probes >= 3;
+        });
+    const std::chrono::duration<double> elapsed =
+        monotonic_clock::now() - start;
+    const std::chrono::duration<double> interval =
+        vm.pool.options().leave_bound * config::store_probe_age_share;
+    CHECK(static_cast<double>(probes) <= 1 + elapsed / interval);
+}
+
 // Guards against changes that are lost when the connection of a watch breaks
 // and the store has dropped the history.
 TEST_CASE("objects are listed again after a failed watch", "[platform]")
