Add odd entries, freezes, cuts and departures to the soak

Cause: the soak had neither entries of other programs nor faults after which a VM acts on old knowledge. Change: four kinds of faults from a generator of their own, so that the faults of earlier seeds stay as they are; each VM has its own path to the store; the oracle reports a request that a VM in touch sends to a target long after it left.

--- a/tests/soak/deployment.cpp
+++ b/tests/soak/deployment.cpp
@@ -3,6 +3,7 @@
 #include "attempt.hpp"
 
 #include <cstdlib>
+#include <iterator>
 
 namespace bramleymux::soak
 {
@@ -18,6 +19,11 @@
 constexpr std::size_t changing_routes = 4;
 constexpr std::uint64_t slots = 32;
 constexpr std::uint64_t longest_reply_ms = 40;
+constexpr std::size_t odd_depth = 100000; // levels
+// Default of the VMs' setting `target/leave_ms`.
+constexpr auto leave_bound = std::chrono::seconds(3);
+// Time between the send of a VM and the moment at which this process reads it.
+constexpr auto longest_transit = std::chrono::milliseconds(500);
 
 json
 route(const std::string& prefix, bool safe, const std::string& service,
@@ -59,8 +65,8 @@
 } // namespace
 
 deployment::deployment(boost::asio::io_context& loop, std::uint64_t seed,
-    const std::vector<std::string>& zones)
-    : store(loop), random_(seed)
+    const std::vector<std::string>& zones, std::size_t vms)
+    : store(loop, vms), random_(seed)
 {
     for (const std::string& zone : zones)
     {
@@ -92,11 +98,62 @@
             targets_[n]->received.clear();
             return serve(id, request);
         }));
-    store.put("servers", id,
-        {{"service", service}, {"address", targets_.back()->address()},
-            {"zone", zone}, {"version", "v1"}, {"slots", slots},
-            {"state", "ready"}, {"warmupLeftMs", 0}, {"sequence", 1},
-            {"born", 1700000000000}});
+    specs_.push_back({{"service", service},
+        {"address", targets_.back()->address()}, {"zone", zone},
+        {"version", "v1"}, {"slots", slots}, {"state", "ready"},
+        {"warmupLeftMs", 0}, {"sequence", 1}, {"born", 1700000000000}});
+    register_target(targets_.size() - 1);
+}
+
+void
+deployment::register_target(std::size_t target)
+{
+    store.put("servers", "i-" + std::to_string(target), specs_[target]);
+}
+
+void
+deployment::write_odd_entry(std::uint64_t choice)
+{
+    // The desired state has one object, which only the operator writes.
+    const char* const kinds[] = {
+        "servers", "rollouts", "bramleymux-rollout-reports", "bramleymux-vms"};
+    const std::string deep =
+        std::string(odd_depth, '[') + std::string(odd_depth, ']');
+    const std::string specs[] = {deep, "{\"address\":1e400}",
+        "{\"service\":\"\\udcff\"}", "{\"zone\":\"\xff\xfe\"}", "7",
+        R"({"service":"reader","address":"127.0.0.1:0","state":"ready"})",
+        R"({"service":"reader","address":"127.0.0.1:65536","state":"ready"})",
+        R"({"service":{},"entries":{},"peer":[],"zone":-1})"};
+    const std::string kind = kinds[choice % std::size(kinds)];
+    store.put_text(kind, "odd-" + kind,
+        specs[choice / std::size(kinds) % std::size(specs)]);
+}
+
+bool
+deployment::leave()
+{
+    const std::size_t last = targets_.size() - 1;
+    if (left_at_ != monotonic_time::max())
+    {
+        return false;
+    }
+    left_at_ = monotonic_clock::now();
+    store.remove("servers", "i-" + std::to_string(last));
+    return true;
+}
+
+void
+deployment::come_back()
+{
+    left_at_ = monotonic_time::max();
+    register_target(targets_.size() - 1);
+}
+
+monotonic_time
+deployment::reached_left_target_at(std::uint64_t request) const
+{
+    const auto found = late_arrivals_.find(request);
+    return found == late_arrivals_.end() ? monotonic_time{} : found->second;
 }
 
 fixture::scripted_reply
@@ -110,6 +167,14 @@
     const std::uint64_t id = std::strtoull(
         fixture::header_value(request, "X-Request-Id").c_str(), nullptr, 10);
     ++runs_[id];
+    const monotonic_time now = monotonic_clock::now();
+    const bool left = target == "i-" + std::to_string(targets_.size() - 1) &&
+                      left_at_ != monotonic_time::max() &&
+                      now > left_at_ + leave_bound + longest_transit;
+    if (left)
+    {
+        late_arrivals_.emplace(id, now);
+    }
     auto reply =
         fixture::good(request, target + "." + std::to_string(id), body_of(id));
     reply.wait =
--- a/tests/soak/deployment.hpp
+++ b/tests/soak/deployment.hpp
@@ -18,7 +18,7 @@
 {
 public:
     deployment(boost::asio::io_context& loop, std::uint64_t seed,
-        const std::vector<std::string>& zones);
+        const std::vector<std::string>& zones, std::size_t vms);
 
     /// Writes the next version of the desired state.
     void
@@ -33,12 +33,30 @@
     std::uint32_t
     runs(std::uint64_t request) const;
 
+    /// Writes an entry of another program; `choice` selects it.
+    void
+    write_odd_entry(std::uint64_t choice);
+
+    /// Removes the registration of a target, which goes on serving. Returns
+    /// false if it has left already.
+    bool
+    leave();
+    void
+    come_back();
+
+    /// Returns when a request reached the target that has left, long after its
+    /// registration was removed; zero if it did not.
+    monotonic_time
+    reached_left_target_at(std::uint64_t request) const;
+
     stand_in_store store;
 
 private:
     void
     add_target(boost::asio::io_context& loop, const std::string& service,
         const std::string& zone);
+    void
+    register_target(std::size_t target);
     fixture::scripted_reply
     serve(const std::string& target, const parsed_request& request);
 
@@ -47,6 +65,9 @@
     std::uint64_t version_ = 0;
     std::unordered_map<std::uint64_t, std::uint32_t> runs_;
     std::vector<std::unique_ptr<fixture::stand_in_target>> targets_;
+    std::vector<nlohmann::json> specs_;              ///< of the targets
+    monotonic_time left_at_ = monotonic_time::max(); ///< of the last target
+    std::unordered_map<std::uint64_t, monotonic_time> late_arrivals_;
 };
 
 } // namespace bramleymux::soak
--- a/tests/soak/oracle.cpp
+++ b/tests/soak/oracle.cpp
@@ -97,6 +97,10 @@
     {
         return {false, "a non-idempotent request ran more than once"};
     }
+    if (known.reached_left_target)
+    {
+        return {false, "sent to a target that had left"};
+    }
     if (a.end == attempt_end::answered)
     {
         return {false, judge_answer(a, known)};
--- a/tests/soak/oracle.hpp
+++ b/tests/soak/oracle.hpp
@@ -27,6 +27,9 @@
     /// Time between send and end in which the VM was stopped by SIGSTOP or this
     /// process did not run.
     duration stalled{};
+    /// A VM that ran and reached the store sent the request to a target long
+    /// after that had left.
+    bool reached_left_target = false;
 };
 
 struct verdict
--- a/tests/soak/schedule.cpp
+++ b/tests/soak/schedule.cpp
@@ -84,6 +84,35 @@
     return out;
 }
 
+/// Returns the faults after which VMs might act on what they knew before, and
+/// odd entries of the store. They come from a generator of their own, so that
+/// the other faults of a seed stay as they are.
+std::vector<planned_fault>
+knowledge_faults(std::uint64_t seed, duration length, std::size_t vms)
+{
+    constexpr std::uint64_t stream = 0x6b6e6f77;
+    picker pick(seed ^ stream);
+    std::vector<planned_fault> out;
+    const auto gap = [&] { return milliseconds(pick.between(200, 4000)); };
+    for (duration at = gap(); at < length; at += gap())
+    {
+        constexpr fault_kind kinds[] = {fault_kind::freeze,
+            fault_kind::odd_entry, fault_kind::leave, fault_kind::cut_store};
+        planned_fault f;
+        f.at = at;
+        f.kind = kinds[pick.weighted({2, 3, 2, 3})];
+        f.vm = pick.between(0, vms - 1);
+        f.length = f.kind == fault_kind::freeze
+                       ? milliseconds(pick.between(1200, 3500))
+                   : f.kind == fault_kind::leave
+                       ? milliseconds(pick.between(6000, 9000))
+                       : milliseconds(pick.between(500, 6000));
+        f.choice = pick.between(0, 1000);
+        out.push_back(f);
+    }
+    return out;
+}
+
 } // namespace
 
 std::vector<planned_fault>
@@ -106,6 +135,8 @@
             out.insert(out.end(), more.begin(), more.end());
         }
     }
+    const auto more = knowledge_faults(seed, length, vms);
+    out.insert(out.end(), more.begin(), more.end());
     std::stable_sort(out.begin(), out.end(),
         [](const planned_fault& a, const planned_fault& b)
         { return a.at < b.at; });
--- a/tests/soak/schedule.hpp
+++ b/tests/soak/schedule.hpp
@@ -16,11 +16,15 @@
     pause,     ///< SIGSTOP, then SIGCONT
     terminate, ///< SIGTERM, and a restart after the exit
     kill,      ///< SIGKILL, and a restart
+    freeze,    ///< a pause so long that what the VM knows may have changed
+    odd_entry, ///< another program writes an entry that cannot be used
+    leave,     ///< a target is removed from the store, and registers later
+    cut_store, ///< the store leaves the calls of a VM without replies
     count
 };
 
-constexpr const char* fault_names[] = {
-    "new_state", "hang_up", "pause", "terminate", "kill"};
+constexpr const char* fault_names[] = {"new_state", "hang_up", "pause",
+    "terminate", "kill", "freeze", "odd_entry", "leave", "cut_store"};
 
 /// What a desired state varies.
 struct state_choice
@@ -35,8 +39,9 @@
     duration at{}; ///< since the start
     fault_kind kind = fault_kind::new_state;
     std::size_t vm = 0;
-    duration length{};    ///< of a pause, or the delay of a restart
-    state_choice state{}; ///< of a new state
+    duration length{};        ///< of a pause, or the delay of a restart
+    state_choice state{};     ///< of a new state
+    std::uint64_t choice = 0; ///< of an odd entry
 };
 
 /// Returns the faults of a run in order of time. The same arguments give the
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -26,6 +26,8 @@
 constexpr auto longest_tick = 20ms;
 // A target sees a request at the latest this long after its end at the caller.
 constexpr auto settle_time = 1500ms;
+// A VM that was stopped or cut off within this time may still be behind.
+constexpr auto stable_window = 4s;
 // A process that is younger may not have installed its signal handlers.
 constexpr auto signal_age = 2500ms;
 
@@ -48,8 +50,8 @@
 
 soak_run::soak_run(const soak_options& options)
     : options_(options), journal_(monotonic_clock::now()), report_(journal_),
-      deployment_(loop_, options.seed, {"north", "south"}),
-      restart_delays_(vm_count),
+      deployment_(loop_, options.seed, {"north", "south"}, vm_count),
+      restart_delays_(vm_count), cuts_(vm_count),
       schedule_(make_schedule(
           options.seed, std::chrono::seconds(options.seconds), vm_count)),
       start_(monotonic_clock::now() + warm_up),
@@ -59,7 +61,8 @@
     for (const vm_place& place : places_in(lock_address_block()))
     {
         vms_.push_back(std::make_unique<vm_process>(place, options.program,
-            options.directory, deployment_.store.address(), journal_));
+            options.directory, deployment_.store.address(vms_.size()),
+            journal_));
         readiness.push_back(place.readiness_address());
         world_.vms.push_back(*parse_endpoint(place.caller_address()));
     }
@@ -156,6 +159,14 @@
 void
 soak_run::apply(const planned_fault& fault)
 {
+    const bool of_store = fault.kind == fault_kind::odd_entry ||
+                          fault.kind == fault_kind::leave ||
+                          fault.kind == fault_kind::cut_store;
+    if (of_store)
+    {
+        report_.count_fault(fault.kind, apply_to_store(fault));
+        return;
+    }
     if (fault.kind != fault_kind::new_state)
     {
         report_.count_fault(fault.kind, apply_to_vm(fault));
@@ -173,13 +184,67 @@
            monotonic_clock::now() - vms_[vm]->started_at() > signal_age;
 }
 
+void
+soak_run::after(duration wait, std::function<void()> action)
+{
+    const auto timer = std::make_shared<boost::asio::steady_timer>(loop_);
+    timer->expires_after(wait);
+    timer->async_wait(
+        [timer, action = std::move(action)](error_code) { action(); });
+}
+
+bool
+soak_run::apply_to_store(const planned_fault& fault)
+{
+    if (fault.kind == fault_kind::odd_entry)
+    {
+        journal_.note("", "odd entry " + std::to_string(fault.choice));
+        deployment_.write_odd_entry(fault.choice);
+        return true;
+    }
+    if (fault.kind == fault_kind::leave)
+    {
+        if (!deployment_.leave())
+        {
+            return false;
+        }
+        journal_.note("", "a target leaves");
+        after(fault.length, [this] { deployment_.come_back(); });
+        return true;
+    }
+    auto& cuts = cuts_[fault.vm];
+    const monotonic_time now = monotonic_clock::now();
+    if (!cuts.empty() && cuts.back().to > now)
+    {
+        return false;
+    }
+    cuts.push_back({now, now + fault.length});
+    journal_.note(vms_[fault.vm]->place.id, "cut from the store");
+    deployment_.store.set_cut(fault.vm, true);
+    after(fault.length,
+        [this, vm = fault.vm] { deployment_.store.set_cut(vm, false); });
+    return true;
+}
+
+bool
+soak_run::is_in_touch(std::size_t vm, monotonic_time at) const
+{
+    const interval window{at - stable_window, at};
+    std::vector<interval> troubles = vms_[vm]->stops();
+    troubles.insert(troubles.end(), cuts_[vm].begin(), cuts_[vm].end());
+    return vms_[vm]->started_at() < window.from &&
+           covered_time(std::move(troubles), window) == duration::zero();
+}
+
 /// Returns false if the state of the VM does not allow the fault.
 bool
 soak_run::apply_to_vm(const planned_fault& fault)
 {
     vm_process& vm = *vms_[fault.vm];
+    const bool is_pause =
+        fault.kind == fault_kind::pause || fault.kind == fault_kind::freeze;
     const bool allowed =
-        fault.kind == fault_kind::pause ? vm.is_running() && !vm.is_stopped()
+        is_pause ? vm.is_running() && !vm.is_stopped()
         : fault.kind == fault_kind::kill
             ? vm.is_running()
             : takes_signals(fault.vm) && (fault.kind == fault_kind::hang_up ||
@@ -188,7 +253,7 @@
     {
         return false;
     }
-    if (fault.kind == fault_kind::pause)
+    if (is_pause)
     {
         pause(fault);
         return true;
@@ -207,10 +272,8 @@
 soak_run::pause(const planned_fault& fault)
 {
     vms_[fault.vm]->set_stopped(true);
-    const auto timer = std::make_shared<boost::asio::steady_timer>(loop_);
-    timer->expires_after(fault.length);
-    timer->async_wait([this, timer, vm = fault.vm](error_code)
-        { vms_[vm]->set_stopped(false); });
+    after(
+        fault.length, [this, vm = fault.vm] { vms_[vm]->set_stopped(false); });
 }
 
 void
@@ -326,8 +389,10 @@
     const interval span{a.sent_at, a.ended_at};
     std::vector<interval> stalls = vms_[a.vm]->stops();
     stalls.insert(stalls.end(), lags_.begin(), lags_.end());
+    const monotonic_time late = deployment_.reached_left_target_at(a.id);
     return {deployment_.runs(a.id), vms_[a.vm]->was_killed_within(span),
-        covered_time(std::move(stalls), span)};
+        covered_time(std::move(stalls), span),
+        late != monotonic_time{} && is_in_touch(a.vm, late)};
 }
 
 } // namespace bramleymux::soak
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -52,6 +52,15 @@
     takes_signals(std::size_t vm) const;
     bool
     apply_to_vm(const planned_fault& fault);
+    /// Applies a fault of the store. Returns false if it is in progress.
+    bool
+    apply_to_store(const planned_fault& fault);
+    /// Calls `action` after `wait`.
+    void
+    after(duration wait, std::function<void()> action);
+    /// Returns whether the VM ran and reached the store for a while before.
+    bool
+    is_in_touch(std::size_t vm, monotonic_time at) const;
     void
     tick();
     void
@@ -77,6 +86,7 @@
     deployment deployment_;
     std::vector<std::unique_ptr<vm_process>> vms_;
     std::vector<duration> restart_delays_;
+    std::vector<std::vector<interval>> cuts_; ///< from the store, of each VM
     std::unique_ptr<balancer> balancer_;
     caller_world world_;
     std::vector<std::unique_ptr<caller>> callers_;
--- a/tests/soak/store.cpp
+++ b/tests/soak/store.cpp
@@ -22,16 +22,6 @@
 constexpr int status_missing = 404;
 constexpr int status_conflict = 409;
 
-http_reply
-reply_with(int status, const json& body)
-{
-    http_reply out;
-    out.status = status;
-    out.fields.push_back({"Content-Type", "application/json"});
-    out.body = body.dump();
-    return out;
-}
-
 /// Returns a number of the query string, or 0.
 std::uint64_t
 query_number(const std::string& query, const std::string& name)
@@ -85,49 +75,84 @@
     bool known = false;
 };
 
-stand_in_store::stand_in_store(asio::io_context& loop)
-    : loop_(loop),
-      acceptor_(loop, tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
-      timer_(loop)
+stand_in_store::stand_in_store(asio::io_context& loop, std::size_t paths)
+    : loop_(loop), paths_(paths), timer_(loop)
 {
-    accept();
+    for (std::size_t i = 0; i < paths; ++i)
+    {
+        paths_[i].acceptor = std::make_unique<tcp::acceptor>(
+            loop, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+        accept(i);
+    }
     tick();
 }
 
 std::string
-stand_in_store::address() const
+stand_in_store::address(std::size_t path) const
 {
-    return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+    return "127.0.0.1:" +
+           std::to_string(paths_[path].acceptor->local_endpoint().port());
 }
 
 void
-stand_in_store::accept()
+stand_in_store::set_cut(std::size_t path, bool cut)
 {
-    acceptor_.async_accept(
-        [this](boost::system::error_code error, tcp::socket socket)
+    paths_[path].cut = cut;
+    watches_.remove_if(
+        [&](const waiting_watch& w) { return cut && w.path == path; });
+}
+
+http_reply
+stand_in_store::reply_with(int status, const json& body) const
+{
+    http_reply out;
+    out.status = status;
+    out.fields.push_back({"Content-Type", "application/json"});
+    out.body = body.dump();
+    for (const auto& [mark, text] : texts_)
+    {
+        const std::string quoted = '"' + mark + '"';
+        for (std::size_t at = out.body.find(quoted); at != std::string::npos;
+             at = out.body.find(quoted, at + text.size()))
+        {
+            out.body.replace(at, quoted.size(), text);
+        }
+    }
+    return out;
+}
+
+void
+stand_in_store::accept(std::size_t path)
+{
+    paths_[path].acceptor->async_accept(
+        [this, path](boost::system::error_code error, tcp::socket socket)
         {
             if (error)
             {
                 return;
             }
             const auto on_request =
-                [this](parsed_request&& request, const connection_ptr& c)
-            { serve(request, c); };
-            const auto on_fault = [](input_fault)
+                [this, path](parsed_request&& request, const connection_ptr& c)
+            { serve(request, c, path); };
+            const auto on_fault = [this](input_fault)
             { return reply_with(status_bad, json::object()); };
             std::make_shared<caller_connection>(std::move(socket),
                 caller_limits{},
                 connection_handlers{
                     on_request, on_fault, [](const connection_end&) {}})
                 ->start();
-            accept();
+            accept(path);
         });
 }
 
 void
-stand_in_store::serve(
-    const parsed_request& request, const connection_ptr& connection)
+stand_in_store::serve(const parsed_request& request,
+    const connection_ptr& connection, std::size_t path)
 {
+    if (paths_[path].cut)
+    {
+        return;
+    }
     const call c(request);
     if (!c.known || c.kind.empty())
     {
@@ -135,18 +160,19 @@
     }
     else if (c.method == "GET")
     {
-        serve_read(c, connection);
+        serve_read(c, connection, path);
     }
     else
     {
         connection->answer(
-            c.method == "DELETE" ? remove(c) : write(c, request.body));
+            c.method == "DELETE" ? remove_called(c) : write(c, request.body));
         answer_watches();
     }
 }
 
 void
-stand_in_store::serve_read(const call& c, const connection_ptr& connection)
+stand_in_store::serve_read(
+    const call& c, const connection_ptr& connection, std::size_t path)
 {
     if (!c.name.empty())
     {
@@ -164,7 +190,7 @@
     watches_.push_back({c.kind, query_number(c.query, "watch"),
         monotonic_clock::now() +
             std::chrono::milliseconds(query_number(c.query, "waitMs")),
-        connection});
+        connection, path});
     answer_watches();
 }
 
@@ -227,7 +253,7 @@
 }
 
 http_reply
-stand_in_store::remove(const call& c)
+stand_in_store::remove_called(const call& c)
 {
     const auto found = objects_.find({c.kind, c.name});
     if (found == objects_.end())
@@ -251,6 +277,26 @@
     answer_watches();
 }
 
+void
+stand_in_store::put_text(
+    const std::string& kind, const std::string& name, const std::string& spec)
+{
+    const std::string mark = "text of " + kind + "/" + name;
+    texts_[mark] = spec;
+    put(kind, name, mark);
+}
+
+void
+stand_in_store::remove(const std::string& kind, const std::string& name)
+{
+    const auto found = objects_.find({kind, name});
+    if (found != objects_.end())
+    {
+        store(kind, json(found->second), true);
+        answer_watches();
+    }
+}
+
 void
 stand_in_store::store(const std::string& kind, json object, bool deleted)
 {
--- a/tests/test_soak_oracle.cpp
+++ b/tests/test_soak_oracle.cpp
@@ -135,6 +135,19 @@
     CHECK(!soak::judge(refused, after_runs(1)).fault.empty());
 }
 
+// Guards against an oracle that accepts requests to a target that has left.
+TEST_CASE("the soak reports a request to a target that had left", "[soak]")
+{
+    soak::attempt a;
+    a.end = soak::attempt_end::answered;
+    a.status = 200;
+    a.own_body = true;
+    soak::evidence known = after_runs(1);
+    CHECK(soak::judge(a, known).fault.empty());
+    known.reached_left_target = true;
+    CHECK(!soak::judge(a, known).fault.empty());
+}
+
 // Guards against stalls that are counted twice, which hides a late close.
 TEST_CASE("overlapping stalls count once", "[soak]")
 {
