Ask a refusing relay once more before turning to the store

Cause: one refusal of a relay made a follower turn to the store for 8 s. Result: all tests of the entry path pass.

--- a/src/change_hub.cpp
+++ b/src/change_hub.cpp
@@ -213,14 +213,16 @@
         reply.status == status_ok ? decode_delta(reply.body) : std::nullopt;
     const bool was_healthy = r.is_healthy();
     // A poll without a reply makes a relay unhealthy at once, since a relay
-    // answers every poll before the timeout, also without changes. So does a
-    // refusal, unless the relay may still be starting.
+    // answers every poll before the timeout, also without changes.
     const bool silent = reply.status == 0 && !reply.unsent;
-    const bool not_current =
-        reply.status == status_unavailable && r.has_replied;
-    r.failures = delta                   ? 0
-                 : silent || not_current ? config::relay_max_failures
-                                         : r.failures + 1;
+    r.failures = delta    ? 0
+                 : silent ? config::relay_max_failures
+                          : r.failures + 1;
+    // A relay that refuses may have lost the store for a moment, or be cut off;
+    // asking it soon tells which.
+    const bool refused = reply.status == status_unavailable && r.has_replied;
+    const duration retry_delay = refused ? duration(config::relay_refused_delay)
+                                         : duration(config::relay_retry_delay);
     if (delta)
     {
         r.has_replied = true;
@@ -248,8 +250,7 @@
     {
         update_following();
     }
-    r.timer.expires_after(
-        delta ? duration::zero() : duration(config::relay_retry_delay));
+    r.timer.expires_after(delta ? duration::zero() : retry_delay);
     // `set_vms` may destroy the relay while this handler is queued.
     r.timer.async_wait(
         [this, id = r.id, wait = ++r.waits](boost::system::error_code error)
--- a/src/config.hpp
+++ b/src/config.hpp
@@ -448,6 +448,7 @@
 inline constexpr auto relay_poll_wait = 2s;
 inline constexpr auto relay_poll_margin = 600ms;
 inline constexpr auto relay_retry_delay = 400ms;
+inline constexpr auto relay_refused_delay = 100ms;     // after a refusal
 inline constexpr std::uint32_t relay_max_failures = 3; // in a row
 // Polls are answered once the view has not changed for this time, so that
 // changes in quick succession go out in one reply.
