Check the keys of workspaces at the entry VM

Cause: desired states may name workspaces whose keys callers send. The key went on to the targets, which need the workspace's name in its place, and requests ran without any key. The workspace's priority orders the requests that wait for room.

--- a/include/bramleymux/stats.hpp
+++ b/include/bramleymux/stats.hpp
@@ -59,6 +59,25 @@
     shards_handed_back,    ///< shards of sent orders without an answer
     delegates_lost,        ///< VMs of other zones that stopped answering
     requests_dropped,      ///< connections closed with a request unanswered
+    keys_refused,          ///< requests without a known key of a workspace
+    keys_not_current,      ///< refused, since known keys may be out of date
+    keys_age_ms,      ///< age of what this VM knows of the workspaces' keys
+    freshness_asked,  ///< questions to other VMs for that age
+    freshness_failed, ///< those without a usable answer
+    duty_held,        ///< 1 while this VM holds a duty
+    duty_token,       ///< last token under which it held one
+    duty_calls,       ///< to the platform's API
+    duty_calls_failed,
+    usage_windows_reported,
+    usage_windows_skipped,
+    usage_reports_received,  ///< counts of other VMs, as a collector
+    store_era,               ///< restores of the store
+    store_objects_rewritten, ///< after a restore
+    caller_connections,      ///< open connections of callers
+    memory_held_bytes,       ///< for callers, in requests and answers
+    callers_evicted,         ///< closed to free memory or for slow reading
+    connections_refused,     ///< above the limit of connections
+    replies_faulty,          ///< of targets
     count
 };
 
@@ -76,7 +95,12 @@
     "log_lines_dropped", "desired_state_version", "desired_state_age_ms",
     "known_targets", "follows_store", "gather_orders_sent",
     "gather_orders_received", "gather_orders_refused", "shards_handed_back",
-    "delegates_lost", "requests_dropped"};
+    "delegates_lost", "requests_dropped", "keys_refused", "keys_not_current",
+    "keys_age_ms", "freshness_asked", "freshness_failed", "duty_held",
+    "duty_token", "duty_calls", "duty_calls_failed", "usage_windows_reported",
+    "usage_windows_skipped", "usage_reports_received", "store_era",
+    "store_objects_rewritten", "caller_connections", "memory_held_bytes",
+    "callers_evicted", "connections_refused", "replies_faulty"};
 
 /// Values of every counter at one moment.
 struct stats
--- a/src/entry_query.cpp
+++ b/src/entry_query.cpp
@@ -32,10 +32,10 @@
 
 entry_query::entry_query(entry_context& context,
     std::shared_ptr<const desired_state> state, const route_rule& route,
-    caller_message&& message, answer_handler answer)
+    caller_message&& message, std::uint32_t priority, answer_handler answer)
     : context_(context), state_(std::move(state)), route_(route),
       stats_(context.routes[route.name]), message_(std::move(message)),
-      answer_(std::move(answer)), timer_(context.loop),
+      priority_(priority), answer_(std::move(answer)), timer_(context.loop),
       started_(monotonic_clock::now()),
       spent_before_(
           spent_before(stats_, message_.time_left.value_or(route.timeout))),
--- a/src/entry_query.hpp
+++ b/src/entry_query.hpp
@@ -26,9 +26,11 @@
 public:
     using answer_handler = std::function<void(http_reply&&)>;
 
+    /// `priority` orders the requests that wait for room; 0 = most urgent.
     entry_query(entry_context& context,
         std::shared_ptr<const desired_state> state, const route_rule& route,
-        caller_message&& message, answer_handler answer);
+        caller_message&& message, std::uint32_t priority,
+        answer_handler answer);
 
     /// May call the answer handler before it returns.
     void
@@ -206,6 +208,7 @@
     const route_rule& route_;
     route_stats& stats_;
     caller_message message_;
+    std::uint32_t priority_;
     answer_handler answer_;
     boost::asio::steady_timer timer_;
     monotonic_time started_;
--- a/src/entry_query_room.cpp
+++ b/src/entry_query_room.cpp
@@ -116,7 +116,7 @@
     shard.waiting_for_room =
         is_worth_waiting(context_.pool.rate_wait(shard.service, shard.tried)) &&
         context_.pool.wait_for_room(shard.service,
-            started_ + target_latency_left_ - stats_.median_latency,
+            started_ + target_latency_left_ - stats_.median_latency, priority_,
             [self = shared_from_this(), shard_index, reason]
             { return self->on_room_available(shard_index, reason); });
     shard.failed = is_exhausted(shard);
--- a/src/entry_server.cpp
+++ b/src/entry_server.cpp
@@ -1,6 +1,7 @@
 #include "config.hpp"
 #include "entry_server_state.hpp"
 #include "gather_job.hpp"
+#include "keys/key_check.hpp"
 #include "stream_socket.hpp"
 
 #include <algorithm>
@@ -125,6 +126,12 @@
     peer_handler_ = std::move(handler);
 }
 
+void
+entry_server::set_key_guard(std::function<bool()> are_keys_current)
+{
+    are_keys_current_ = std::move(are_keys_current);
+}
+
 std::vector<std::string>
 entry_server::addresses() const
 {
@@ -315,6 +322,46 @@
     return make_entry_problem(code, run, detail, context_.random);
 }
 
+bool
+entry_server::admit_key(const route_rule& rule, caller_message& message,
+    std::uint32_t& priority,
+    const std::shared_ptr<caller_connection>& connection)
+{
+    if (!state_->workspaces)
+    {
+        return true;
+    }
+    const std::string key = context_.wire.take_key(message);
+    const key_decision decision =
+        check_key(*state_, rule, key, are_keys_current_());
+    priority = rule.priority;
+    if (decision.owner != nullptr)
+    {
+        message.workspace = decision.owner->name;
+        priority = decision.owner->priority.value_or(rule.priority);
+    }
+    switch (decision.verdict)
+    {
+    case key_verdict::allowed:
+        return true;
+    case key_verdict::unknown_key:
+        context_.counters.add(counter::keys_refused);
+        connection->answer(
+            refuse(message, problem_code::unauthorized, run_state::not_run,
+                "the key of a workspace is missing or unknown"));
+        return false;
+    default:
+        context_.counters.add(counter::keys_not_current);
+        // The caller reconnects, and the load balancer then picks a VM that is
+        // ready.
+        connection->disable_keep_alive();
+        connection->answer(
+            refuse(message, problem_code::keys_not_current, run_state::not_run,
+                "this VM cannot tell whether the key is valid"));
+        return false;
+    }
+}
+
 void
 entry_server::route(caller_message&& message,
     const std::shared_ptr<caller_connection>& connection)
@@ -339,13 +386,18 @@
             run_state::not_run, "this VM exits before it could answer"));
         return;
     }
+    std::uint32_t priority = 0;
+    if (!admit_key(*rule, message, priority, connection))
+    {
+        return;
+    }
     if (cut_off_)
     {
         // The caller reconnects, and the load balancer then picks a ready VM.
         connection->disable_keep_alive();
     }
-    const auto query = std::make_shared<entry_query>(
-        context_, state_, *rule, std::move(message), answer_on(connection));
+    const auto query = std::make_shared<entry_query>(context_, state_, *rule,
+        std::move(message), priority, answer_on(connection));
     connection->set_on_disconnect(
         [weak = std::weak_ptr<entry_query>(query)]
         {
--- a/src/entry_server.hpp
+++ b/src/entry_server.hpp
@@ -54,6 +54,11 @@
             const std::string& path, std::function<void(http_reply&&)>)>
             handler);
 
+    /// Sets the test of whether this VM knows the keys of the workspaces as of
+    /// so recently that no revoked one is accepted. Without it, always.
+    void
+    set_key_guard(std::function<bool()> are_keys_current);
+
     /// Returns the bound addresses in the order of the parameters of `listen`.
     std::vector<std::string>
     addresses() const;
@@ -116,6 +121,12 @@
     void
     route(caller_message&& message,
         const std::shared_ptr<caller_connection>& connection);
+    /// Returns whether the request may run, and names its workspace. Answers it
+    /// otherwise.
+    bool
+    admit_key(const route_rule& rule, caller_message& message,
+        std::uint32_t& priority,
+        const std::shared_ptr<caller_connection>& connection);
     /// Handles an order of a VM in another zone, or its request for late
     /// replies.
     void
@@ -161,6 +172,7 @@
     std::function<void()> on_stopped_;
     std::function<void(const std::string&, std::function<void(http_reply&&)>)>
         peer_handler_;
+    std::function<bool()> are_keys_current_ = [] { return true; };
 };
 
 } // namespace bramleymux
--- a/src/entry_settings.cpp
+++ b/src/entry_settings.cpp
@@ -107,6 +107,57 @@
 constexpr double max_time_s = 3600;
 constexpr double ms_per_s = 1000;
 
+std::vector<std::string>
+split_list(const std::string& text)
+{
+    std::vector<std::string> out;
+    std::istringstream in(text);
+    for (std::string item; std::getline(in, item, ',');)
+    {
+        if (!item.empty())
+        {
+            out.push_back(item);
+        }
+    }
+    return out;
+}
+
+void
+read_revocation(const key_reader& keys, entry_settings& out)
+{
+    const std::string strict = keys.text("keys/strict_revocation", false);
+    if (!strict.empty() && strict != "true" && strict != "false")
+    {
+        keys.report("keys/strict_revocation", "must be true or false");
+    }
+    const double bound_ms =
+        keys.number("keys/revoke_ms", 0, 0, max_time_s * ms_per_s);
+    if (strict == "true" && bound_ms > 0)
+    {
+        out.revocation_bound = seconds(bound_ms / ms_per_s);
+    }
+}
+
+void
+read_duty(const key_reader& keys, duty_settings& out)
+{
+    out.api_address = keys.address("duty/address", false);
+    out.names = split_list(keys.text("duty/names", false));
+    out.calls_per_second = keys.number("duty/calls_per_s", 0, 0, 1e6);
+    out.lease = seconds(
+        keys.number("duty/lease_ms", 0, 0, max_time_s * ms_per_s) / ms_per_s);
+    out.thaw_slack = seconds(
+        keys.number("duty/thaw_ms", 0, 0, max_time_s * ms_per_s) / ms_per_s);
+}
+
+void
+read_usage(const key_reader& keys, usage_settings& out)
+{
+    out.window = seconds(keys.number("usage/window_s", 0, 0, max_time_s));
+    out.tolerance = keys.number("usage/tolerance", 0, 0, 1);
+    out.due_after = seconds(keys.number("usage/late_s", 0, 0, max_time_s));
+}
+
 } // namespace
 
 entry_settings
@@ -141,6 +192,9 @@
         ms_per_s);
     out.rollout.share = keys.number("rollout/share", out.rollout.share, 0, 1);
     out.rollout.slack = keys.number("rollout/slack", out.rollout.slack, 0, 1e6);
+    read_revocation(keys, out);
+    read_duty(keys, out.duty);
+    read_usage(keys, out.usage);
     const double grace_s = keys.number("stop/grace_s",
         in_seconds(out.stop.exit_after + config::exit_margin), 0.5, max_time_s);
     out.stop.exit_after = std::max<duration>(
--- a/src/entry_settings.hpp
+++ b/src/entry_settings.hpp
@@ -6,12 +6,32 @@
 
 #include <bramleymux/types.hpp>
 
+#include <optional>
 #include <string>
+#include <vector>
 
 /// INI settings of the entry VM's daemon. docs/settings.md lists every key.
 namespace bramleymux
 {
 
+/// Calls to the platform's API that one VM at a time makes.
+struct duty_settings
+{
+    std::string api_address;        ///< IP:port; empty = no duties
+    std::vector<std::string> names; ///< of the duties
+    double calls_per_second = 0;    ///< from all VMs together
+    duration lease{};
+    duration thaw_slack{}; ///< calls this soon after a freeze are not judged
+};
+
+/// Reports of the requests of each workspace; needs `duty_settings`.
+struct usage_settings
+{
+    duration window{};    ///< zero = no reports
+    double tolerance = 0; ///< share by which a count may be off
+    duration due_after{}; ///< the end of its window
+};
+
 struct entry_settings
 {
     std::string vm_id;
@@ -28,6 +48,12 @@
     duration leave_bound = config::default_leave_bound;
     rollout_limits rollout;
     stop_times stop;
+
+    /// Time after the removal of a key from which no VM accepts it; nullopt =
+    /// the desired state's own propagation time is enough.
+    std::optional<duration> revocation_bound;
+    duty_settings duty;
+    usage_settings usage;
 };
 
 /// Parses and checks INI text. Appends every finding to `found`, at places that
--- a/src/entry_wire.hpp
+++ b/src/entry_wire.hpp
@@ -24,6 +24,7 @@
     std::string path;                  ///< with the query string
     std::optional<duration> time_left; ///< until the caller's deadline
     header_fields forwarded;           ///< end-to-end fields, unchanged
+    std::string workspace;             ///< whose key the request carried
     std::string body;
     bool keep_alive = true;
 };
@@ -77,6 +78,9 @@
 struct entry_wire
 {
     caller_message (*read_request)(parsed_request&& request);
+    /// Removes the caller's key, and a workspace that it named itself, from the
+    /// forwarded fields. Returns the key; empty if there is none or several.
+    std::string (*take_key)(caller_message& request);
     /// Returns the serialized request to the target `target_id`, which has the
     /// time `left` for it.
     std::string (*write_request)(const caller_message& request,
--- a/src/fleet_view.hpp
+++ b/src/fleet_view.hpp
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "config.hpp"
+#include "keys/workspace_keys.hpp"
 
 #include <bramleymux/types.hpp>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -35,6 +37,7 @@
     std::vector<std::string> shards;   ///< services, each asked for its part
     std::size_t result_limit = 0;      ///< most records of a merged answer
     double min_coverage = 1.0;         ///< least share of answered shards
+    bool is_public = false;            ///< needs no key of a workspace
 };
 
 /// Settings of one service.
@@ -66,6 +69,8 @@
     std::vector<route_rule> routes;
     std::vector<service_rule> services; ///< sorted by name
     caller_limits limits;
+    /// If set, requests of routes that are not public need a key.
+    std::optional<workspace_keys> workspaces;
 };
 
 /// Returns the route of `host` with the longest prefix of `path`, or null. A
--- a/src/gather_order.cpp
+++ b/src/gather_order.cpp
@@ -72,18 +72,21 @@
         fields.push_back({field.name, field.value});
     }
     const caller_message& m = order.message;
+    json value{{"id", m.id}, {"host", m.host}, {"method", m.method},
+        {"path", m.path}, {"fields", std::move(fields)},
+        {"body", binary(m.body)},
+        {"left", microseconds(m.time_left.value_or(duration::zero()))},
+        {"within", microseconds(order.reply_within)},
+        {"rest", microseconds(order.rest_within)},
+        {"expected", microseconds(order.expected)},
+        {"limit", order.result_limit}, {"least", order.min_shards},
+        {"shards", order.shards}};
+    if (!m.workspace.empty())
+    {
+        value["workspace"] = m.workspace;
+    }
     std::string out;
-    json::to_cbor(
-        json{{"id", m.id}, {"host", m.host}, {"method", m.method},
-            {"path", m.path}, {"fields", std::move(fields)},
-            {"body", binary(m.body)},
-            {"left", microseconds(m.time_left.value_or(duration::zero()))},
-            {"within", microseconds(order.reply_within)},
-            {"rest", microseconds(order.rest_within)},
-            {"expected", microseconds(order.expected)},
-            {"limit", order.result_limit}, {"least", order.min_shards},
-            {"shards", order.shards}},
-        out);
+    json::to_cbor(value, out);
     return out;
 }
 
@@ -104,6 +107,7 @@
             m.forwarded.push_back({field.at(0).get<std::string>(),
                 field.at(1).get<std::string>()});
         }
+        m.workspace = value.value("workspace", std::string());
         m.body = bytes_of(value.at("body"));
         m.time_left = duration_of(value.at("left"));
         out.reply_within = duration_of(value.at("within"));
--- a/src/log_events.cpp
+++ b/src/log_events.cpp
@@ -138,6 +138,47 @@
             "A port could not be opened; this is tried again."},
         {1011, level::warning, "accept_failed",
             "A connection could not be accepted; this is tried again."},
+        {1711, level::warning, "keys_stale",
+            "What this VM knows of the workspaces' keys may be too old; it "
+            "refuses requests with keys."},
+        {1712, level::info, "keys_current",
+            "What this VM knows of the workspaces' keys is recent again."},
+        {1721, level::info, "duty_acquired",
+            "This VM holds a duty, under a new token."},
+        {1722, level::warning, "duty_lost",
+            "This VM no longer holds a duty that it did not release."},
+        {1723, level::info, "duty_released", "This VM released a duty."},
+        {1724, level::warning, "duty_call_failed",
+            "A call to the platform's API for a duty failed."},
+        {1731, level::info, "usage_reported",
+            "The usage of a window was reported."},
+        {1732, level::warning, "usage_skipped",
+            "The usage of a window is not known well enough and was not "
+            "reported."},
+        {1733, level::info, "usage_repeated",
+            "The pending usage report of an earlier holder was sent again."},
+        {1734, level::warning, "clock_corrected",
+            "The time of day of this VM differs from that of the others, which "
+            "it uses instead."},
+        {1741, level::warning, "store_restored",
+            "The store was restored from an older copy; what this VM knows of "
+            "it is read anew."},
+        {1742, level::warning, "state_not_in_store",
+            "The desired state in force is newer than the one in the restored "
+            "store; it stays in force."},
+        {1743, level::info, "store_object_rewritten",
+            "An object that the restored store lacks was written again."},
+        {1751, level::warning, "memory_full",
+            "The memory for callers is used up; the largest holders are "
+            "closed."},
+        {1752, level::warning, "caller_evicted",
+            "A caller's connection was closed because of the memory that it "
+            "held or its slow reading."},
+        {1753, level::warning, "connections_full",
+            "Connections of callers were refused, since the limit of "
+            "connections is reached."},
+        {1754, level::warning, "reply_faulty",
+            "A target sent a reply that is no valid final reply."},
     }};
 
 spdlog::level::level_enum
--- a/src/log_events.hpp
+++ b/src/log_events.hpp
@@ -74,6 +74,23 @@
     handler_failed,
     listen_failed,
     accept_failed,
+    keys_stale,
+    keys_current,
+    duty_acquired,
+    duty_lost,
+    duty_released,
+    duty_call_failed,
+    usage_reported,
+    usage_skipped,
+    usage_repeated,
+    clock_corrected,
+    store_restored,
+    state_not_in_store,
+    store_object_rewritten,
+    memory_full,
+    caller_evicted,
+    connections_full,
+    reply_faulty,
     count
 };
 
--- a/src/problem.hpp
+++ b/src/problem.hpp
@@ -25,6 +25,7 @@
     idempotency_key_reused,
     duplicate_request,
     unauthorized,
+    keys_not_current,
     no_table,
     stopping,
     overloaded,
@@ -49,11 +50,12 @@
 inline constexpr name_table<problem_code> problem_code_names{"none",
     "unknown_path", "method_not_allowed", "unknown_service", "unknown_route",
     "invalid_request", "idempotency_key_required", "idempotency_key_reused",
-    "duplicate_request", "unauthorized", "no_table", "stopping", "overloaded",
-    "no_snapshot", "platform_unavailable", "coverage_below_minimum",
-    "target_refused", "deadline_passed", "outcome_unknown", "no_target",
-    "target_failed", "request_timeout", "header_too_long", "body_too_long",
-    "edit_invalid", "edit_conflict", "edit_not_accepted", "edit_unknown"};
+    "duplicate_request", "unauthorized", "keys_not_current", "no_table",
+    "stopping", "overloaded", "no_snapshot", "platform_unavailable",
+    "coverage_below_minimum", "target_refused", "deadline_passed",
+    "outcome_unknown", "no_target", "target_failed", "request_timeout",
+    "header_too_long", "body_too_long", "edit_invalid", "edit_conflict",
+    "edit_not_accepted", "edit_unknown"};
 
 /// HTTP status and title of a problem code.
 struct problem_info
--- a/src/target_pool.hpp
+++ b/src/target_pool.hpp
@@ -162,10 +162,11 @@
     /// Queues a request until a target of the service may have capacity, then
     /// calls `ready` from the event loop; `ready` returns whether the request
     /// used the capacity, and may queue again. After `stale_at` other requests
-    /// take precedence. Returns false if the queue is full.
+    /// take precedence; among the others, those of lower `priority` do. Returns
+    /// false if the queue is full.
     bool
     wait_for_room(const std::string& service, monotonic_time stale_at,
-        std::function<bool()> ready);
+        std::uint32_t priority, std::function<bool()> ready);
 
     /// Returns what the target wants of all VMs, or nullopt if that is what any
     /// VM assumes. For a while, the end of a rate limit is told as well.
--- a/src/target_pool_room.cpp
+++ b/src/target_pool_room.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 
 /// Room of target_pool: the connections of this VM to each target, and requests
 /// that wait for one.
@@ -49,14 +50,14 @@
 
 bool
 target_pool::wait_for_room(const std::string& service, monotonic_time stale_at,
-    std::function<bool()> ready)
+    std::uint32_t priority, std::function<bool()> ready)
 {
     auto& waiters = service_of(service).waiters;
     if (waiters.size() >= config::max_waiting_per_service)
     {
         return false;
     }
-    waiters.push_back({stale_at, std::move(ready)});
+    waiters.push_back({stale_at, priority, std::move(ready)});
     return true;
 }
 
@@ -75,9 +76,10 @@
     }
 }
 
-/// Serves the oldest request that can still meet its target latency; late ones
-/// only if there is no other. Requests that no longer need a target are
-/// removed; those that cannot use it, since their budget is spent, queue again.
+/// Serves the most urgent request that can still meet its target latency, the
+/// oldest of them first; late ones only if there is no other. Requests that no
+/// longer need a target are removed; those that cannot use it, since their
+/// budget is spent, queue again.
 void
 target_pool::serve_waiter(service_state& service)
 {
@@ -86,9 +88,15 @@
     std::size_t offers = config::max_offers_per_room;
     while (!used && offers > 0 && !service.waiters.empty())
     {
-        auto next = std::find_if(service.waiters.begin(), service.waiters.end(),
-            [&](const waiter& w) { return now < w.stale_at; });
-        next = next == service.waiters.end() ? service.waiters.begin() : next;
+        const auto next =
+            std::min_element(service.waiters.begin(), service.waiters.end(),
+                [&](const waiter& a, const waiter& b)
+                {
+                    const bool a_late = now >= a.stale_at;
+                    const bool b_late = now >= b.stale_at;
+                    return std::tie(a_late, a.priority) <
+                           std::tie(b_late, b.priority);
+                });
         const std::function<bool()> ready = std::move(next->ready);
         service.waiters.erase(next);
         const std::size_t others = service.waiters.size();
--- a/src/target_pool_state.hpp
+++ b/src/target_pool_state.hpp
@@ -12,6 +12,7 @@
 struct target_pool::waiter
 {
     monotonic_time stale_at{};
+    std::uint32_t priority = 0; ///< 0 = most urgent
     std::function<bool()> ready;
 };
 
--- a/tests/test_entry_path.cpp
+++ b/tests/test_entry_path.cpp
@@ -448,10 +448,11 @@
     const monotonic_time later = monotonic_clock::now() + 1h;
     for (std::size_t i = 0; i <= config::max_offers_per_room; ++i)
     {
-        REQUIRE(vm.pool.wait_for_room("s", later, [] { return false; }));
+        REQUIRE(vm.pool.wait_for_room("s", later, 0, [] { return false; }));
     }
     bool served = false;
-    REQUIRE(vm.pool.wait_for_room("s", later, [&] { return served = true; }));
+    REQUIRE(
+        vm.pool.wait_for_room("s", later, 0, [&] { return served = true; }));
     test_caller caller(vm.loop, vm.caller_address());
     caller.send(get("/w/1", "r1"));
     CHECK(caller.reply().status == 200);
