Give the model's fleet a name of its own

Cause: two types were named bramleymux::tools::fleet, in fanout_model and in target_standin. Without inlining the linker kept one destructor for both, and "hedges remove stragglers within the budget" ended with a segmentation fault. Change: the model's type is model_fleet.

--- a/tests/test_routing.cpp
+++ b/tests/test_routing.cpp
@@ -25,7 +25,7 @@
 }
 
 query_plan
-plan(const tools::fleet& f, plan_request request, std::vector<shard_id> shards,
+plan(const tools::model_fleet& f, plan_request request, std::vector<shard_id> shards,
     std::uint64_t seed = 1)
 {
     const auto index = build_routing_index(f.topology, f.reports);
@@ -36,7 +36,7 @@
 }
 
 snapshot_sequence
-chosen(const tools::fleet& f, version_handle version = {})
+chosen(const tools::model_fleet& f, version_handle version = {})
 {
     const auto index = build_routing_index(f.topology, f.reports);
     const auto* found = choose_snapshot(*index, service, version, f.views);
@@ -87,7 +87,7 @@
     f.views[0].weight = 1.0;
     f.views[3].unusable = miss_reason::zone_out;
     CHECK(chosen(f) == 2);
-    CHECK(chosen(tools::fleet{}) == 0);
+    CHECK(chosen(tools::model_fleet{}) == 0);
 }
 
 // Guards against a bad version that attracts every query by reporting a newer
--- a/tools/common/fanout_model.cpp
+++ b/tools/common/fanout_model.cpp
@@ -269,7 +269,7 @@
     }
 
     fanout_options options_;
-    fleet fleet_;
+    model_fleet fleet_;
     std::shared_ptr<const routing_index> index_;
     std::vector<target_state> targets_;
     std::vector<query_state> queries_;
@@ -287,11 +287,11 @@
 
 } // namespace
 
-fleet
+model_fleet
 make_fleet(std::uint32_t searchers, std::uint32_t replicas,
     std::uint32_t shards_per_searcher, std::uint32_t overlap)
 {
-    fleet result;
+    model_fleet result;
     result.topology.services.resize(1);
     result.topology.services[0].self.index = 0;
     const auto shard_count = searchers * shards_per_searcher;
--- a/tools/common/fanout_model.hpp
+++ b/tools/common/fanout_model.hpp
@@ -13,7 +13,7 @@
 {
 
 /// Targets of one service, with the reports and views that routing takes.
-struct fleet
+struct model_fleet
 {
     catalog topology;
     std::vector<target_report> reports;
@@ -23,7 +23,7 @@
 /// Returns `searchers` x `replicas` targets. A searcher holds
 /// `shards_per_searcher` shards of snapshot 1, plus `overlap` times as many
 /// that the next searchers hold as well.
-fleet
+model_fleet
 make_fleet(std::uint32_t searchers, std::uint32_t replicas,
     std::uint32_t shards_per_searcher, std::uint32_t overlap = 0);
 
