Refuse keys when their revocation may be unknown

Cause: a VM that was frozen, cut off or just started went on with the keys that it knew, so a revoked key was accepted for as long as it heard nothing.

--- a/src/change_hub.cpp
+++ b/src/change_hub.cpp
@@ -115,6 +115,24 @@
     raise_revision(view_, kind, revision);
 }
 
+void
+change_hub::apply_object(const store_change& object)
+{
+    if (apply(view_, object, monotonic_clock::now()))
+    {
+        publish({object});
+    }
+}
+
+const store_change*
+change_hub::find_object(const std::string& kind, const std::string& name) const
+{
+    const auto found = view_.items.find({kind, name});
+    const bool present =
+        found != view_.items.end() && !found->second.object.deleted;
+    return present ? &found->second.object : nullptr;
+}
+
 void
 change_hub::record_store_result(bool succeeded)
 {
--- a/src/change_hub.hpp
+++ b/src/change_hub.hpp
@@ -55,6 +55,13 @@
     void
     apply_changes(const std::string& kind,
         const std::vector<store_change>& changes, std::uint64_t revision);
+    /// Applies an object that another VM passed on outside of the polls. Says
+    /// nothing of the other objects of its kind.
+    void
+    apply_object(const store_change& object);
+    /// Returns null if this VM has no such object.
+    const store_change*
+    find_object(const std::string& kind, const std::string& name) const;
     /// Records whether a call of a feed succeeded.
     void
     record_store_result(bool succeeded);
--- /dev/null
+++ b/src/config/revocation.hpp
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "config/units.hpp"
+
+/// Limits of the age of what a VM knows of the workspaces' keys.
+/// docs/design/revocation.md derives the shares of the revocation bound.
+namespace bramleymux::config
+{
+
+// Covers differences between the rates of the VMs' clocks, and nothing else.
+inline constexpr double proof_margin_share = 0.01;
+inline constexpr auto proof_margin = 50ms;
+// A VM asks others once its proof is older than this share of the bound, which
+// a VM that follows the store does not reach: its proof is at most two watches
+// old.
+inline constexpr double question_age_share = 0.3;
+inline constexpr double proof_watch_share = 0.14;
+inline constexpr auto min_proof_watch_wait = 50ms;
+inline constexpr auto question_period = 250ms; // at most 4 questions/s
+inline constexpr auto question_timeout = 300ms;
+// Connections that are kept to VMs that were asked: three relays and one other.
+inline constexpr std::size_t max_question_channels = 4;
+// A desired state of 1 MiB grows while its keys are replaced by digests.
+inline constexpr std::size_t max_freshness_bytes = 4 * mib;
+inline constexpr auto max_stated_age = 1h;
+
+} // namespace bramleymux::config
--- a/src/entry_server.cpp
+++ b/src/entry_server.cpp
@@ -285,7 +285,9 @@
     {
         constexpr int ok = 200;
         constexpr int unavailable = 503;
-        out.status = reported_ready_ && !stopping_ ? ok : unavailable;
+        // After a freeze, keys may have become too old since the last tick.
+        const bool ready = reported_ready_ && !stopping_ && accepts_keys();
+        out.status = ready ? ok : unavailable;
         return out;
     }
     if (path == metrics_path)
@@ -565,7 +567,13 @@
 bool
 entry_server::is_ready() const
 {
-    return synced_ && state_ && !stopping_ && !cut_off_;
+    return synced_ && state_ && !stopping_ && !cut_off_ && accepts_keys();
+}
+
+bool
+entry_server::accepts_keys() const
+{
+    return !state_ || !state_->workspaces || are_keys_current_();
 }
 
 void
@@ -582,6 +590,7 @@
     {
         context_.log.write(event::readiness_changed,
             {{"ready", ready}, {"stopping", stopping_}, {"cut_off", cut_off_},
+                {"accepts_keys", accepts_keys()},
                 {"config_version", state_ ? state_->version : 0},
                 {"targets", context_.pool.size()}});
     }
--- a/src/entry_server.hpp
+++ b/src/entry_server.hpp
@@ -112,6 +112,9 @@
     accept_waiting();
     bool
     is_ready() const;
+    /// Returns whether requests with keys are served, if the state has any.
+    bool
+    accepts_keys() const;
     bool
     is_servable(const route_rule& route) const;
     bool
