Revoke keys in the soak

Cause: the soak's desired states named no workspaces, so nothing checked keys against real processes that are paused, killed or cut off from the store. Change: its desired states have one key that stays and one that is replaced at most once a second; callers send either, or one of the last four revoked ones. The oracle reports a request that reached a target though it was sent more than 2 s after its key was revoked, a 401 of the key that stays, and a 401 of a request that ran.

--- a/tests/soak/attempt.hpp
+++ b/tests/soak/attempt.hpp
@@ -28,6 +28,7 @@
     std::size_t vm = 0;
     bool idempotent = true;
     bool permanent_route = true; ///< part of every desired state
+    std::size_t key = 0;         ///< 0 = the one that is never revoked
     bool reused_connection = false;
     monotonic_time sent_at{}; ///< first byte
     monotonic_time ended_at{};
@@ -39,6 +40,10 @@
     bool own_body = false; ///< the body is the one that belongs to `id`
 };
 
+/// Returns the text of the key with this number.
+std::string
+key_text(std::size_t key);
+
 /// Returns the only body that a target sends to the request `id`.
 std::string
 body_of(std::uint64_t id);
--- a/tests/soak/caller.cpp
+++ b/tests/soak/caller.cpp
@@ -70,6 +70,12 @@
     return "id=" + std::to_string(id) + ";" + std::string(id % sizes, '.');
 }
 
+std::string
+key_text(std::size_t key)
+{
+    return "soak-key-" + std::to_string(key);
+}
+
 struct caller::connection
 {
     explicit connection(asio::io_context& loop) : socket(loop) {}
@@ -221,7 +227,7 @@
                       " HTTP/1.1\r\nHost: soak.example\r\nX-Request-Id: " +
                       std::to_string(attempt_.id) +
                       "\r\nX-Deadline-Ms: " + std::to_string(limit_ms.count()) +
-                      "\r\n";
+                      "\r\nApi-Key: " + key_text(attempt_.key) + "\r\n";
     if (!body_.empty())
     {
         out += "Content-Length: " + std::to_string(body_.size()) + "\r\n";
@@ -234,6 +240,7 @@
 {
     choose_request();
     attempt_.id = world_.next_id();
+    attempt_.key = world_.choose_key ? world_.choose_key(random_) : 0;
     attempt_.reused_connection = connection_->used;
     attempt_.sent_at = monotonic_clock::now();
     attempt_.reset = false;
--- a/tests/soak/caller.hpp
+++ b/tests/soak/caller.hpp
@@ -24,6 +24,8 @@
     /// Returns the idle timeout of the newest desired state.
     std::function<duration()> idle_timeout;
     std::function<std::uint64_t()> next_id;
+    /// Chooses the key of a request.
+    std::function<std::size_t(std::mt19937_64&)> choose_key;
     std::function<void(const attempt&)> on_end;
 };
 
--- a/tests/soak/deployment.cpp
+++ b/tests/soak/deployment.cpp
@@ -2,6 +2,7 @@
 
 #include "attempt.hpp"
 
+#include <algorithm>
 #include <cstdlib>
 #include <iterator>
 
@@ -20,6 +21,9 @@
 constexpr std::uint64_t slots = 32;
 constexpr std::uint64_t longest_reply_ms = 40;
 constexpr std::size_t odd_depth = 100000; // levels
+// So few revocations that callers still use the key which a VM that is cut off
+// takes for valid.
+constexpr auto shortest_key_life = std::chrono::seconds(1);
 // Default of the VMs' setting `target/leave_ms`.
 constexpr auto leave_bound = std::chrono::seconds(3);
 // Time between the send of a VM and the moment at which this process reads it.
@@ -42,8 +46,10 @@
         {"maxConnections", 200}, {"warmupPerS", 1000}};
 }
 
+/// `newest_key` is valid besides the one that is never revoked.
 json
-desired_state_of(std::uint64_t version, const state_choice& state)
+desired_state_of(
+    std::uint64_t version, const state_choice& state, std::size_t newest_key)
 {
     json routes{route("/r/", true, read_service, state.route_timeout_ms),
         route("/w/", false, write_service, state.route_timeout_ms)};
@@ -57,6 +63,8 @@
     }
     return {{"version", version}, {"routes", std::move(routes)},
         {"services", {service(read_service), service(write_service)}},
+        {"tenants", {{{"name", "soak"},
+                        {"apiKeys", {key_text(0), key_text(newest_key)}}}}},
         {"limits", {{"maxHeaderBytes", 8192}, {"maxBodyBytes", 65536},
                        {"headerTimeoutMs", 2000},
                        {"idleTimeoutMs", state.idle_timeout_ms}}}};
@@ -84,7 +92,39 @@
     constexpr std::uint64_t longest_step = 3;
     version_ +=
         std::uniform_int_distribution<std::uint64_t>(1, longest_step)(random_);
-    store.put("config", "main", desired_state_of(version_, state));
+    const bool revokes =
+        revocations_.empty() ||
+        monotonic_clock::now() - revocations_.back() >= shortest_key_life;
+    const std::size_t newest_key = revocations_.size() + (revokes ? 2 : 1);
+    store.put("config", "main", desired_state_of(version_, state, newest_key));
+    if (revokes)
+    {
+        revocations_.push_back(monotonic_clock::now());
+    }
+}
+
+std::size_t
+deployment::choose_key(std::mt19937_64& random) const
+{
+    const auto pick = [&](std::uint64_t low, std::uint64_t high)
+    { return std::uniform_int_distribution<std::uint64_t>(low, high)(random); };
+    constexpr std::uint64_t revocable_key_share = 40;
+    constexpr std::uint64_t percent = 100;
+    if (pick(1, percent) > revocable_key_share)
+    {
+        return 0;
+    }
+    // The newest one, or one of the last that were revoked.
+    constexpr std::size_t recent_keys = 4;
+    const std::size_t newest_key = revocations_.size() + 1;
+    return newest_key - pick(0, std::min(recent_keys, newest_key - 1));
+}
+
+monotonic_time
+deployment::revoked_at(std::size_t key) const
+{
+    return key >= 1 && key <= revocations_.size() ? revocations_[key - 1]
+                                                  : monotonic_time::max();
 }
 
 void
--- a/tests/soak/deployment.hpp
+++ b/tests/soak/deployment.hpp
@@ -33,6 +33,16 @@
     std::uint32_t
     runs(std::uint64_t request) const;
 
+    /// Chooses the key of a request: the one that is never revoked, the newest
+    /// one, or one that was revoked lately.
+    std::size_t
+    choose_key(std::mt19937_64& random) const;
+
+    /// Returns when the store acknowledged the revocation of a key; the
+    /// greatest time if it has not.
+    monotonic_time
+    revoked_at(std::size_t key) const;
+
     /// Writes an entry of another program; `choice` selects it.
     void
     write_odd_entry(std::uint64_t choice);
@@ -63,6 +73,8 @@
     std::mt19937_64 random_;
     state_choice state_;
     std::uint64_t version_ = 0;
+    /// When the keys from 1 on were revoked. The key after them is the newest.
+    std::vector<monotonic_time> revocations_;
     std::unordered_map<std::uint64_t, std::uint32_t> runs_;
     std::vector<std::unique_ptr<fixture::stand_in_target>> targets_;
     std::vector<nlohmann::json> specs_;              ///< of the targets
--- a/tests/soak/oracle.cpp
+++ b/tests/soak/oracle.cpp
@@ -9,6 +9,7 @@
 {
 
 constexpr int status_ok = 200;
+constexpr int status_unauthorized = 401;
 constexpr int status_not_found = 404;
 constexpr int status_timeout = 408;
 constexpr int status_misdirected = 421;
@@ -24,7 +25,8 @@
 is_refusal(int status)
 {
     return status == status_unavailable || status == status_too_many ||
-           status == status_timeout || status == status_misdirected;
+           status == status_timeout || status == status_misdirected ||
+           status == status_unauthorized;
 }
 
 std::string
@@ -43,6 +45,10 @@
     {
         return "answered, but no target saw the request";
     }
+    if (a.status == status_unauthorized && a.key == 0)
+    {
+        return "401 with a key of every desired state";
+    }
     if (a.status == status_not_found && a.permanent_route)
     {
         return "404 on a route of every desired state";
@@ -97,6 +103,13 @@
     {
         return {false, "a non-idempotent request ran more than once"};
     }
+    const bool key_expired =
+        known.key_revoked_at != monotonic_time::max() &&
+        a.sent_at > known.key_revoked_at + revocation_bound;
+    if (key_expired && known.runs > 0)
+    {
+        return {false, "ran with a key that had been revoked"};
+    }
     if (known.reached_left_target)
     {
         return {false, "sent to a target that had left"};
--- a/tests/soak/oracle.hpp
+++ b/tests/soak/oracle.hpp
@@ -30,8 +30,14 @@
     /// A VM that ran and reached the store sent the request to a target long
     /// after that had left.
     bool reached_left_target = false;
+    /// When the store acknowledged the revocation of the key; the greatest time
+    /// if it was not revoked before the request.
+    monotonic_time key_revoked_at = monotonic_time::max();
 };
 
+/// Time after a revocation from which no VM may accept the key.
+inline constexpr auto revocation_bound = std::chrono::milliseconds(2000);
+
 struct verdict
 {
     bool crossed_close = false; ///< the VM closed without reading the request
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -72,6 +72,8 @@
     world_.idle_timeout = [this]() -> duration
     { return std::chrono::milliseconds(deployment_.state().idle_timeout_ms); };
     world_.next_id = [this] { return ++last_id_; };
+    world_.choose_key = [this](std::mt19937_64& random)
+    { return deployment_.choose_key(random); };
     world_.on_end = [this](const attempt& a) { unjudged_.push_back(a); };
 }
 
@@ -392,7 +394,8 @@
     const monotonic_time late = deployment_.reached_left_target_at(a.id);
     return {deployment_.runs(a.id), vms_[a.vm]->was_killed_within(span),
         covered_time(std::move(stalls), span),
-        late != monotonic_time{} && is_in_touch(a.vm, late)};
+        late != monotonic_time{} && is_in_touch(a.vm, late),
+        deployment_.revoked_at(a.key)};
 }
 
 } // namespace bramleymux::soak
--- a/tests/soak/vm_process.cpp
+++ b/tests/soak/vm_process.cpp
@@ -1,5 +1,7 @@
 #include "vm_process.hpp"
 
+#include "oracle.hpp"
+
 #include <algorithm>
 #include <csignal>
 #include <fcntl.h>
@@ -64,7 +66,9 @@
         << "\npeer = " << place.ip << peer_port
         << "\n[store]\naddress = " << store_
         << "\n[extra_load]\nratio = 0.2\nslack = " << 100 + settings_written_++
-        << "\n[stop]\ngrace_s = " << grace_s << "\n";
+        << "\n[stop]\ngrace_s = " << grace_s
+        << "\n[keys]\nstrict_revocation = true\nrevoke_ms = "
+        << revocation_bound.count() << "\n";
 }
 
 bool
--- a/tests/test_soak_oracle.cpp
+++ b/tests/test_soak_oracle.cpp
@@ -148,6 +148,30 @@
     CHECK(!soak::judge(a, known).fault.empty());
 }
 
+// Guards against an oracle that accepts a key long after its revocation, or a
+// refusal of one that is never revoked.
+TEST_CASE("the soak reports a request that ran with a revoked key", "[soak]")
+{
+    soak::attempt a;
+    a.end = soak::attempt_end::answered;
+    a.status = 200;
+    a.own_body = true;
+    a.key = 3;
+    a.sent_at = monotonic_time{1h};
+    soak::evidence known = after_runs(1);
+    CHECK(soak::judge(a, known).fault.empty());
+    known.key_revoked_at = a.sent_at - soak::revocation_bound;
+    CHECK(soak::judge(a, known).fault.empty());
+    known.key_revoked_at -= 1ms;
+    CHECK(!soak::judge(a, known).fault.empty());
+    a.status = 401;
+    CHECK(!soak::judge(a, known).fault.empty());
+    known.runs = 0;
+    CHECK(soak::judge(a, known).fault.empty());
+    a.key = 0;
+    CHECK(!soak::judge(a, known).fault.empty());
+}
+
 // Guards against stalls that are counted twice, which hides a late close.
 TEST_CASE("overlapping stalls count once", "[soak]")
 {
