--- a/src/call_channel.cpp
+++ b/src/call_channel.cpp
@@ -2,6 +2,8 @@
 
 #include "stream_socket.hpp"
 
+#include <boost/asio/post.hpp>
+
 namespace bramleymux
 {
 
@@ -53,6 +55,10 @@
 {
     request_ = request.method + " " + request.path +
                " HTTP/1.1\r\nHost: " + address_ + "\r\n";
+    for (const header_field& field : request.fields)
+    {
+        request_ += field.name + ": " + field.value + "\r\n";
+    }
     if (!request.body.empty())
     {
         request_ +=
@@ -62,6 +68,8 @@
     }
     request_ += "\r\n" + request.body;
     sent_ = false;
+    may_send_ = request.may_send;
+    delivery_limit_ = request.delivery_limit;
     handler_ = std::move(handler);
     ++call_id_;
     timer_.expires_after(timeout);
@@ -120,7 +128,24 @@
 void
 call_channel::send()
 {
+    if (may_send_ && !may_send_())
+    {
+        // Posted, since the caller does not expect a reply from within a call.
+        boost::asio::post(loop_,
+            [this, alive = alive_, call_id = call_id_]
+            {
+                if (*alive && call_id == call_id_ && handler_)
+                {
+                    finish({});
+                }
+            });
+        return;
+    }
     sent_ = true;
+    if (delivery_limit_ > duration::zero())
+    {
+        link_->limit_delivery(delivery_limit_);
+    }
     link_->exchange(request_, {}, false,
         [this, alive = alive_, call_id = call_id_](link_result&& result)
         {
--- a/src/call_channel.hpp
+++ b/src/call_channel.hpp
@@ -21,6 +21,13 @@
     /// The call may be executed twice. It is sent once more, on a new
     /// connection, if a kept one closes without a byte of a reply.
     bool repeatable = false;
+    header_fields fields{}; ///< further ones
+    /// If set, asked right before the bytes are written. If it returns false,
+    /// the call ends as unsent.
+    std::function<bool()> may_send{};
+    /// If not zero, bytes that the other side has not acknowledged by this time
+    /// or by the end of the call are never delivered.
+    duration delivery_limit{};
 };
 
 struct call_reply
@@ -75,6 +82,8 @@
     boost::asio::steady_timer timer_;
     std::shared_ptr<target_link> link_;
     std::string request_;
+    std::function<bool()> may_send_;
+    duration delivery_limit_{};
     reply_handler handler_;
     bool sent_ = false;
     bool may_resend_ = false;
--- a/src/stream_socket.cpp
+++ b/src/stream_socket.cpp
@@ -46,6 +46,17 @@
             std::chrono::milliseconds(config::tcp_user_timeout).count()));
 }
 
+void
+set_delivery_limit(tcp::socket& socket, duration limit)
+{
+    set_option(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
+        static_cast<int>(
+            std::chrono::duration_cast<std::chrono::milliseconds>(limit)
+                .count()));
+    error_code ignored;
+    socket.set_option(tcp::socket::linger(true, 0), ignored);
+}
+
 std::optional<tcp::endpoint>
 parse_endpoint(const std::string& address)
 {
--- a/src/stream_socket.hpp
+++ b/src/stream_socket.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <bramleymux/types.hpp>
+
 #include <boost/asio/ip/tcp.hpp>
 
 #include <optional>
@@ -16,6 +18,12 @@
 void
 set_stream_options(boost::asio::ip::tcp::socket& socket);
 
+/// Ends the connection if sent bytes stay without acknowledgement for `limit`.
+/// Closing the socket resets the connection and drops bytes that are still on
+/// their way.
+void
+set_delivery_limit(boost::asio::ip::tcp::socket& socket, duration limit);
+
 /// Parses "IP:port". Returns nullopt if it is malformed; host names are not
 /// resolved.
 std::optional<boost::asio::ip::tcp::endpoint>
--- a/src/target_link.cpp
+++ b/src/target_link.cpp
@@ -62,6 +62,12 @@
         });
 }
 
+void
+target_link::limit_delivery(duration limit)
+{
+    set_delivery_limit(socket_, limit);
+}
+
 bool
 target_link::check_ready()
 {
--- a/src/target_link.hpp
+++ b/src/target_link.hpp
@@ -64,6 +64,11 @@
     void
     close();
 
+    /// Has the kernel drop bytes that the target has not acknowledged for
+    /// `limit`, and those that are on their way when the connection is closed.
+    void
+    limit_delivery(duration limit);
+
     /// Returns whether a request can be sent now. Closes an idle connection
     /// that the target has closed or on which unsolicited bytes have arrived,
     /// also if the event loop has not reported either yet.
