--- a/src/duties/duty_lease.hpp
+++ b/src/duties/duty_lease.hpp
@@ -141,7 +141,8 @@
 record_pause(duty_lease& lease, duration now);
 
 /// The holder stops acting and releases the lease; a candidate no longer
-/// acquires it.
+/// acquires it. Call it once no call to the API is in progress, since the next
+/// holder may act at once.
 void
 request_release(duty_lease& lease);
 
