--- a/tests/test_duty_holder.cpp
+++ b/tests/test_duty_holder.cpp
@@ -241,6 +241,40 @@
     CHECK(api.requests.empty());
 }
 
+// Guards against bytes of a call that timed out which the kernel goes on
+// sending until the API is reached again, after the next holder's calls.
+TEST_CASE("the connection of a call that timed out is reset", "[duty]")
+{
+    std::atomic<int> end{-1};
+    test::raw_server server(
+        [&](int socket)
+        {
+            test::read_request(socket);
+            char c = 0;
+            end = recv(socket, &c, 1, 0) < 0 ? errno : 0;
+        });
+    boost::asio::io_context loop;
+    metrics counters;
+    decision_log log{"test", ::open("/dev/null", O_WRONLY)};
+    duty_api api(loop, "127.0.0.1:" + std::to_string(server.address().port), 50,
+        counters, log, "vm-0");
+    std::optional<duty_result> result;
+    api.send(
+        call_step("a").call, 1, [] { return true; },
+        [&](const duty_result& r) { result = r; });
+    CHECK(api.is_busy());
+    while (!result)
+    {
+        loop.run_one();
+    }
+    CHECK(result->kind == duty_result_kind::outcome_unknown);
+    while (end < 0)
+    {
+        std::this_thread::yield();
+    }
+    CHECK(end == ECONNRESET);
+}
+
 // Guards against a write that may have been executed being taken for one that
 // was not, which would leave a lease that nobody knows of.
 TEST_CASE("replies of the store are told apart", "[duty]")
