Check that a duty is held again after faults end

Cause: a lease that no VM can acquire would break no rule of its calls. Change: the random sequences end with 20 s without faults, in which a VM must act; a test of the pace of calls.

--- a/tests/test_duty_holder.cpp
+++ b/tests/test_duty_holder.cpp
@@ -220,6 +220,26 @@
     CHECK(site.owners[0].results[0].kind == duty_result_kind::pending_refused);
 }
 
+// Guards against calls above the API's rate, and against repeats without a wait
+// while the API refuses.
+TEST_CASE("a duty's calls are spaced, and repeats wait longer", "[duty]")
+{
+    duty_pacing pacing = make_duty_pacing(50);
+    record_call_sent(pacing, 1h);
+    record_call_end(pacing, 1h, true);
+    CHECK_FALSE(may_call(pacing, 1h + 39ms));
+    CHECK(may_call(pacing, 1h + 40ms));
+    duration at = 1h;
+    for (const auto wait : {200ms, 400ms, 800ms, 1600ms, 2000ms, 2000ms})
+    {
+        record_call_sent(pacing, at);
+        record_call_end(pacing, at, false);
+        CHECK_FALSE(may_call(pacing, at + wait - 1ms));
+        CHECK(may_call(pacing, at + wait));
+        at += wait;
+    }
+}
+
 // Guards against a call that was decided before a freeze and is sent after it.
 TEST_CASE("a call is not sent if its condition no longer holds", "[duty]")
 {
--- a/tests/test_duty_lease.cpp
+++ b/tests/test_duty_lease.cpp
@@ -300,7 +300,7 @@
 
 // Guards against any order of freezes, losses, kills, cuts, late writes and
 // restores in which two VMs act at once, a token falls or has two owners, or a
-// former holder acts again within a lease.
+// former holder acts again within a lease, or after which no VM acts.
 TEST_CASE("no sequence of faults breaks the rules of a duty", "[duty]")
 {
     std::size_t acts = 0;
@@ -362,6 +362,19 @@
             changes += m.acts[i].vm != m.acts[i - 1].vm ? 1 : 0;
         }
         RC_ASSERT(broken_rule(m.acts) == std::string());
+        m.faults = {};
+        for (std::size_t i = 0; i < m.vms.size(); ++i)
+        {
+            m.vms[i].cut = false;
+            m.vms[i].frozen_until = m.now;
+            if (m.vms[i].stopping)
+            {
+                m.start(i);
+            }
+        }
+        m.run(20s);
+        RC_ASSERT(m.actor(m.now - 1s) != std::string());
+        RC_ASSERT(broken_rule(m.acts) == std::string());
     };
     CHECK(holds(20261207, 300, property));
     CHECK(acts > 10000);
