--- a/src/entry_context.hpp
+++ b/src/entry_context.hpp
@@ -3,6 +3,7 @@
 #include "gather_delegates.hpp"
 #include "route_stats.hpp"
 #include "target_pool.hpp"
+#include "usage/usage_meter.hpp"
 
 #include <random>
 #include <string>
@@ -24,6 +25,7 @@
     decision_log& log;
     std::unordered_map<std::string, route_stats>& routes; ///< by route name
     std::mt19937_64& random;
+    usage_meter* usage = nullptr; ///< null: nothing is counted
 };
 
 } // namespace bramleymux
--- a/src/entry_query.cpp
+++ b/src/entry_query.cpp
@@ -143,6 +143,23 @@
     }
 }
 
+duration
+entry_query::true_now() const
+{
+    return context_.usage == nullptr ? duration::zero() : context_.usage->now();
+}
+
+void
+entry_query::record_usage(
+    send_stage stage, std::size_t sends, duration written_at)
+{
+    if (context_.usage != nullptr)
+    {
+        context_.usage->record(message_.workspace, usage_, stage,
+            static_cast<std::uint32_t>(sends), written_at);
+    }
+}
+
 /// Returns false if no target can take the request, the process exits too soon
 /// or the extra-load budget is spent.
 bool
@@ -176,17 +193,28 @@
     order.bodiless = message_.method == "HEAD";
     order.expected = expected_latency();
     const auto self = shared_from_this();
-    order.write = [self](const std::string& target_id)
+    const auto written_at = std::make_shared<std::optional<duration>>();
+    order.write = [self, written_at](const std::string& target_id)
     {
         const duration left = self->time_left(monotonic_clock::now());
-        return self->finished_ || left <= duration::zero()
-                   ? std::string()
-                   : self->context_.wire.write_request(
-                         self->message_, target_id, left);
+        if (self->finished_ || left <= duration::zero())
+        {
+            return std::string();
+        }
+        *written_at = self->true_now();
+        self->record_usage(send_stage::written, 1, **written_at);
+        return self->context_.wire.write_request(
+            self->message_, target_id, left);
     };
     const auto id = std::make_shared<send_id>(0);
-    order.done = [self, shard_index, id](send_result&& result)
-    { self->on_result(shard_index, *id, std::move(result)); };
+    order.done = [self, shard_index, id, written_at](send_result&& result)
+    {
+        if (*written_at && !result.may_have_run)
+        {
+            self->record_usage(send_stage::not_run, 1, **written_at);
+        }
+        self->on_result(shard_index, *id, std::move(result));
+    };
     *id = context_.pool.send(*target, std::move(order));
     shard.sends.push_back({*id, monotonic_clock::now(), false});
     return true;
--- a/src/entry_query.hpp
+++ b/src/entry_query.hpp
@@ -89,6 +89,7 @@
         order_id id = 0;
         std::string zone;
         std::vector<std::size_t> shard_indices;
+        duration written_at{}; ///< true time
     };
 
     void
@@ -181,6 +182,13 @@
         const std::vector<std::string>& shards);
     void
     count_send(send_reason reason);
+    /// Counts the usage of the request's workspace.
+    void
+    record_usage(send_stage stage, std::size_t sends, duration written_at);
+    duration
+    true_now() const;
+    void
+    record_delegate_usage(const delegation& from, const delegate_reply& reply);
     void
     log_send(const shard_query& shard, const target_state& target,
         send_reason reason);
@@ -222,6 +230,7 @@
     std::vector<std::string> merged_records_; ///< of each delegate's reply
     std::uint32_t hedges_ = 0;
     std::uint32_t retries_ = 0;
+    request_usage usage_;
     bool finished_ = false;
 };
 
--- a/src/entry_query_delegate.cpp
+++ b/src/entry_query_delegate.cpp
@@ -111,7 +111,34 @@
     {
         shards_[i].delegated = true;
     }
-    delegations_.push_back({*id, group.zone, std::move(group.shards)});
+    const duration written_at = true_now();
+    record_usage(send_stage::written, group.shards.size(), written_at);
+    delegations_.push_back(
+        {*id, group.zone, std::move(group.shards), written_at});
+}
+
+/// Takes the shards off the usage that the delegate sent to no target, or whose
+/// target ran nothing.
+void
+entry_query::record_delegate_usage(
+    const delegation& from, const delegate_reply& reply)
+{
+    std::size_t not_run = 0;
+    if (reply.outcome == delegate_outcome::refused)
+    {
+        not_run = from.shard_indices.size();
+    }
+    else if (reply.outcome == delegate_outcome::parts)
+    {
+        not_run = static_cast<std::size_t>(
+            std::count_if(reply.parts.parts.begin(), reply.parts.parts.end(),
+                [](const gather_part& part)
+                {
+                    return part.state == part_state::unsent ||
+                           part.state == part_state::rejected;
+                }));
+    }
+    record_usage(send_stage::not_run, not_run, from.written_at);
 }
 
 /// Removes and returns a delegation. Returns nullopt if its reply is no longer
@@ -139,6 +166,7 @@
         return;
     }
     const delegation& from = *taken;
+    record_delegate_usage(from, reply);
     for (const std::size_t i : from.shard_indices)
     {
         shards_[i].delegated = false;
@@ -273,7 +301,8 @@
     {
         shards_[i].delegated = !shards_[i].answered;
     }
-    delegations_.push_back({*id, from.zone, from.shard_indices});
+    delegations_.push_back(
+        {*id, from.zone, from.shard_indices, from.written_at});
 }
 
 void
--- a/src/entry_server.cpp
+++ b/src/entry_server.cpp
@@ -195,18 +195,7 @@
     {
         handler = [this](parsed_request&& request,
                       const std::shared_ptr<caller_connection>& connection)
-        {
-            const bool is_order = request.path == gather_path ||
-                                  parse_rest_path(request.path) != 0;
-            if (is_order)
-            {
-                serve_order(std::move(request), connection);
-            }
-            else
-            {
-                peer_handler_(request.path, answer_on(connection));
-            }
-        };
+        { serve_peer(std::move(request), connection); };
     }
     else if (from.role == listener::kind::local)
     {
--- a/src/entry_server.hpp
+++ b/src/entry_server.hpp
@@ -54,6 +54,14 @@
             const std::string& path, std::function<void(http_reply&&)>)>
             handler);
 
+    /// Sets a handler of other VMs' requests whose paths begin with `prefix`,
+    /// ahead of the general one.
+    void
+    add_peer_handler(std::string prefix,
+        std::function<void(
+            const parsed_request&, std::function<void(http_reply&&)>)>
+            handler);
+
     /// Sets the test of whether this VM knows the keys of the workspaces as of
     /// so recently that no revoked one is accepted. Without it, always.
     void
@@ -127,6 +135,9 @@
     admit_key(const route_rule& rule, caller_message& message,
         std::uint32_t& priority,
         const std::shared_ptr<caller_connection>& connection);
+    void
+    serve_peer(parsed_request&& request,
+        const std::shared_ptr<caller_connection>& connection);
     /// Handles an order of a VM in another zone, or its request for late
     /// replies.
     void
@@ -172,6 +183,9 @@
     std::function<void()> on_stopped_;
     std::function<void(const std::string&, std::function<void(http_reply&&)>)>
         peer_handler_;
+    std::vector<std::pair<std::string, std::function<void(const parsed_request&,
+                                           std::function<void(http_reply&&)>)>>>
+        prefix_handlers_; ///< of other VMs' requests, by the path's prefix
     std::function<bool()> are_keys_current_ = [] { return true; };
 };
 
