Test that a VM learns of a revocation from another one

Cause: the object that comes with an answer on freshness was adopted in no test. Change: a VM that the store leaves without replies gets the newer state from another VM and then answers 401.

--- a/tests/test_revocation.cpp
+++ b/tests/test_revocation.cpp
@@ -30,8 +30,8 @@
     answering_vm(entry_vm& parts, std::uint64_t version)
         : server(parts.context, {200ms, 400ms}),
           proofs(parts.loop, parts.counters, parts.log,
-              {[version] {
-                   return state_in_force{true, version, version, &payload};
+              {[this, version] {
+                   return state_in_force{true, version, 1000, &payload};
                },
                   [](const freshness_answer&) {}})
     {
@@ -42,7 +42,7 @@
             { proofs.serve(path, reply); });
     }
 
-    static inline const std::string payload = "payload";
+    std::string payload;
     entry_server server;
     proof_exchange proofs;
 };
@@ -73,6 +73,7 @@
                                    200, "X-Instance-Id: i-1\r\n", "")}
                              : good(request, "p", "body");
               }),
+          other(vm, 2),
           source(vm.loop, store.address(0), {"vm-1", "north", "127.0.0.1:1"},
               rollout_limits{}, vm.context, vm.server)
     {
@@ -82,6 +83,8 @@
                 {"version", "v1"}, {"slots", 32}, {"state", "ready"},
                 {"warmupLeftMs", 0}, {"sequence", 1}, {"born", 1700000000000}});
         store.put("config", "main", state_spec(1, {"key-a", "key-b"}));
+        store.put("bramleymux-vms", "vm-2",
+            {{"zone", "north"}, {"peer", other.server.addresses().at(1)}});
         source.start();
         tick();
     }
@@ -130,6 +133,8 @@
     entry_vm vm;
     soak::stand_in_store store;
     stand_in_target target;
+    /// Another registered VM, without a proof at first.
+    answering_vm other;
     platform::platform_source source;
     boost::asio::steady_timer timer{vm.loop};
     /// The last one is in use. A caller with a read in progress must not be
@@ -234,6 +239,19 @@
     fleet.request_until(200);
 }
 
+// Guards against a VM that the store alone leaves without replies and that
+// refuses all keys, or accepts revoked ones, though another VM could tell.
+TEST_CASE("a VM learns of a revocation from another VM", "[revocation]")
+{
+    followed_store fleet(2s);
+    fleet.request_until(200);
+    fleet.store.set_cut(0, true);
+    fleet.other.payload = state_spec(2, {to_hex(digest_of("key-b"))}).dump();
+    fleet.other.proofs.record_store_proof(boot_time());
+    fleet.request_until(401);
+    CHECK(fleet.vm.server.state()->version == 2);
+}
+
 // Guards against a watch of the desired state that is too long to keep the
 // proof young, and against short ones that cost calls without need.
 TEST_CASE(
