Let one relay of each zone prove the keys for the others

Change: the first relay of each zone watches for the zone. The others ask it, then those of other zones, and watch themselves after two questions without a young proof. The test of the questions expects one relay to be asked until it fails; it checks as many steps as before.

--- a/src/config/revocation.hpp
+++ b/src/config/revocation.hpp
@@ -2,6 +2,8 @@
 
 #include "config/units.hpp"
 
+#include <cstdint>
+
 /// Limits of the age of what a VM knows of the workspaces' keys.
 /// docs/design/revocation.md derives the shares of the revocation bound.
 namespace bramleymux::config
@@ -18,6 +20,9 @@
 inline constexpr auto min_proof_watch_wait = 50ms;
 inline constexpr auto question_period = 250ms; // at most 4 questions/s
 inline constexpr auto question_timeout = 300ms;
+// Questions in a row without a young proof after which a VM that follows the
+// store watches the desired state at short intervals itself.
+inline constexpr std::uint32_t failures_before_watch = 2;
 // Connections that are kept to VMs that were asked: three relays and one other.
 inline constexpr std::size_t max_question_channels = 4;
 // A desired state of 1 MiB grows while its keys are replaced by digests.
--- a/src/keys/proof_exchange.hpp
+++ b/src/keys/proof_exchange.hpp
@@ -61,7 +61,9 @@
     is_current() const;
 
     /// Returns the longest wait of a watch of the desired state; nullopt if no
-    /// proof is needed.
+    /// proof is needed. Only the first relay of each zone watches for all,
+    /// since every call to the store costs; the others do when their questions
+    /// fail.
     std::optional<duration>
     watch_wait() const;
 
@@ -97,6 +99,7 @@
     std::vector<std::unique_ptr<call_channel>> channels_; ///< oldest first
     duration started_at_;
     bool asking_ = false;
+    bool watches_for_others_ = true; ///< this VM is the first relay of its zone
     bool reported_stale_ = false;
 };
 
--- a/src/keys/state_proof.cpp
+++ b/src/keys/state_proof.cpp
@@ -92,12 +92,14 @@
     {
         return sources.others[random % sources.others.size()];
     }
-    return sources.relays[questions.asked++ % sources.relays.size()];
+    return sources.relays[questions.relay % sources.relays.size()];
 }
 
 void
 record_question_end(question_state& questions, bool useful)
 {
+    const bool relay_failed = !useful && questions.failures % 2 == 0;
+    questions.relay += relay_failed ? 1 : 0;
     questions.failures = useful ? 0 : questions.failures + 1;
 }
 
--- a/src/keys/state_proof.hpp
+++ b/src/keys/state_proof.hpp
@@ -55,19 +55,21 @@
 /// Addresses of the VMs that may be asked.
 struct proof_sources
 {
-    std::vector<std::string> relays; ///< of this VM; empty on a relay
+    /// First relays of the zones, without this VM; they have young proofs.
+    std::vector<std::string> relays;
     std::vector<std::string> others; ///< all VMs but this one
 };
 
 struct question_state
 {
     duration next_at{};         ///< not earlier
-    std::size_t asked = 0;      ///< questions to relays so far
+    std::size_t relay = 0;      ///< index of the relay to ask
     std::uint32_t failures = 0; ///< questions since the last useful answer
 };
 
 /// Returns the address of the VM to ask now, or nullopt if no question is due.
-/// The relays are asked in turn; after a failure, any VM every other time.
+/// One relay is asked until it fails, then the next one; after a failure, any
+/// VM every other time.
 /// `random` selects that VM. Call only while no question is in progress.
 std::optional<std::string>
 next_question(question_state& questions, const state_proof& proof, duration now,
--- a/src/relay_plan.cpp
+++ b/src/relay_plan.cpp
@@ -98,4 +98,16 @@
     return out;
 }
 
+std::vector<registered_vm>
+first_relays(const std::vector<registered_vm>& vms, const std::string& zone)
+{
+    std::vector<registered_vm> out;
+    for (const auto& [name, members] : rank_by_zone(vms))
+    {
+        out.insert(
+            name == zone ? out.begin() : out.end(), *members.front().second);
+    }
+    return out;
+}
+
 } // namespace bramleymux
--- a/src/relay_plan.hpp
+++ b/src/relay_plan.hpp
@@ -35,4 +35,8 @@
 plan_relays(const std::vector<registered_vm>& vms, const std::string& self_id,
     const std::string& zone);
 
+/// Returns the first relay of each zone, that of `zone` first.
+std::vector<registered_vm>
+first_relays(const std::vector<registered_vm>& vms, const std::string& zone);
+
 } // namespace bramleymux
--- a/tests/test_state_proof.cpp
+++ b/tests/test_state_proof.cpp
@@ -276,15 +276,15 @@
     // Not yet due.
     CHECK(!next_question(questions, proof, now + 249ms, bound, sources, 0));
     record_question_end(questions, true);
-    CHECK(ask(0) == "r1");
+    CHECK(ask(0) == "r0");
     record_question_end(questions, false);
     CHECK(ask(4) == "o1");
     record_question_end(questions, false);
-    CHECK(ask(0) == "r0");
+    CHECK(ask(0) == "r1");
     record_question_end(questions, false);
     CHECK(ask(2) == "o2");
     record_question_end(questions, true);
-    CHECK(ask(0) == "r1");
+    CHECK(ask(0) == "r0");
 
     // A young proof needs no question.
     record_store_proof(proof, now);
