Read the store's era from its replies

Cause: after a restore from an older copy the store gives out revisions again, so a revision is comparable only within an era, which the store states in a header of every reply.

--- a/src/call_channel.cpp
+++ b/src/call_channel.cpp
@@ -15,6 +15,7 @@
     out.status = reply.status;
     out.keep_alive = reply.keep_alive;
     out.body = std::move(reply.body);
+    out.forwarded = std::move(reply.fields);
     return out;
 }
 
@@ -32,9 +33,9 @@
 
 } // namespace
 
-call_channel::call_channel(
-    boost::asio::io_context& loop, const std::string& address)
-    : loop_(loop), address_(address), timer_(loop)
+call_channel::call_channel(boost::asio::io_context& loop,
+    const std::string& address, era_reader read_era)
+    : loop_(loop), address_(address), read_era_(read_era), timer_(loop)
 {
 }
 
@@ -142,9 +143,17 @@
         connect();
         return;
     }
-    finish(result.outcome == link_outcome::reply
-               ? call_reply{result.reply.status, std::move(result.reply.body)}
-               : call_reply{});
+    call_reply reply;
+    if (result.outcome == link_outcome::reply)
+    {
+        reply.status = result.reply.status;
+        reply.body = std::move(result.reply.body);
+        if (read_era_ != nullptr)
+        {
+            reply.store_era = read_era_(result.reply.forwarded);
+        }
+    }
+    finish(std::move(reply));
 }
 
 void
--- a/src/call_channel.hpp
+++ b/src/call_channel.hpp
@@ -4,8 +4,10 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 /// HTTP calls to another process.
@@ -28,8 +30,14 @@
     int status = 0; ///< 0 if no reply came; the call may have been executed
     std::string body;
     bool unsent = false; ///< not connected, so the call was not executed
+    /// Restores of the platform's store so far, as the reply states them; see
+    /// `era_reader`.
+    std::optional<std::uint64_t> store_era;
 };
 
+/// Function of an adapter that finds the store's era in the fields of a reply.
+using era_reader = std::optional<std::uint64_t> (*)(const header_fields&);
+
 /// One connection to a server, for one call at a time. Reconnects on the next
 /// call after a failure or a call without a reply.
 class call_channel
@@ -37,7 +45,9 @@
 public:
     using reply_handler = std::function<void(call_reply&&)>;
 
-    call_channel(boost::asio::io_context& loop, const std::string& address);
+    /// With `read_era`, replies of any status carry the era of the store.
+    call_channel(boost::asio::io_context& loop, const std::string& address,
+        era_reader read_era = nullptr);
     ~call_channel();
 
     call_channel(const call_channel&) = delete;
@@ -72,6 +82,7 @@
 
     boost::asio::io_context& loop_;
     std::string address_;
+    era_reader read_era_;
     boost::asio::steady_timer timer_;
     std::shared_ptr<target_link> link_;
     std::string request_;
