Order what is known of the store by era, then revision

Cause: a store that is restored from an older copy gives out revisions again. Relays and followers took its objects for old, kept objects that it no longer has, and a watch started from revisions that it does not have. A reply, a delta or a poll that states a newer era makes a VM ask its sources anew with consistent lists; until then it refuses polls. The first delta of a new era replaces a kind as a whole. The soak's stand-in store can be restored.

--- a/src/change_hub.cpp
+++ b/src/change_hub.cpp
@@ -12,6 +12,7 @@
 {
 
 constexpr int status_ok = 200;
+constexpr int first_server_error = 500;
 constexpr int status_unavailable = 503;
 
 /// Returns the value of "name=N" in the query string, 0 if absent.
@@ -29,6 +30,18 @@
     return value;
 }
 
+/// Returns the newest era as of which the delta holds a kind.
+std::uint64_t
+newest_era(const change_delta& delta)
+{
+    std::uint64_t out = 0;
+    for (const auto& [kind, revision] : delta.revisions)
+    {
+        out = std::max(out, revision.era);
+    }
+    return out;
+}
+
 duration
 share_of(duration whole, double share)
 {
@@ -92,17 +105,20 @@
 
 void
 change_hub::apply_list(const std::string& kind,
-    const std::vector<store_change>& objects, std::uint64_t revision)
+    const std::vector<store_change>& objects, const store_revision& revision)
 {
     publish(
         replace_kind(view_, kind, objects, revision, monotonic_clock::now()));
     unlisted_kinds_.erase(kind);
-    unconfirmed_kinds_.erase(kind);
+    if (revision.era >= store_era())
+    {
+        unconfirmed_kinds_.erase(kind);
+    }
 }
 
 void
 change_hub::apply_changes(const std::string& kind,
-    const std::vector<store_change>& changes, std::uint64_t revision)
+    const std::vector<store_change>& changes, const store_revision& revision)
 {
     const monotonic_time now = monotonic_clock::now();
     for (const store_change& change : changes)
@@ -132,6 +148,54 @@
     last_store_reply_at_ = monotonic_clock::now();
 }
 
+/// Without a reply, or while no era is known and the store states none with an
+/// error, nothing is learned.
+era_order
+change_hub::record_store_era(const call_reply& reply)
+{
+    const bool silent =
+        !reply.store_era &&
+        (reply.status == 0 || (!era_ && reply.status >= first_server_error));
+    const std::uint64_t era = reply.store_era.value_or(0);
+    if (silent)
+    {
+        return era_order::current;
+    }
+    if (take_era(era))
+    {
+        refresh();
+        return era_order::newer;
+    }
+    return era < store_era() ? era_order::older : era_order::current;
+}
+
+bool
+change_hub::take_era(std::uint64_t era)
+{
+    if (era_ && era <= *era_)
+    {
+        return false;
+    }
+    const bool restored = era_.has_value();
+    const std::uint64_t former = store_era();
+    era_ = era;
+    metrics_.set(counter::store_era, era);
+    if (!restored)
+    {
+        return false;
+    }
+    unconfirmed_kinds_ = kinds_;
+    if (log_.try_admit(event::store_restored, monotonic_clock::now()))
+    {
+        log_.write(event::store_restored, {{"era", era}, {"former", former}});
+    }
+    if (handlers_.on_restore)
+    {
+        handlers_.on_restore();
+    }
+    return true;
+}
+
 void
 change_hub::set_data_max_age(duration age)
 {
@@ -149,6 +213,12 @@
         r->channel.cancel();
         poll(*r);
     }
+    restart_feeds();
+}
+
+void
+change_hub::restart_feeds()
+{
     if (follows_store_)
     {
         set_following(false);
@@ -197,11 +267,15 @@
 void
 change_hub::poll(relay& r)
 {
-    r.channel.call(
-        {"GET",
-            std::string(changes_path) + "?epoch=" + std::to_string(r.epoch) +
-                "&after=" + std::to_string(r.sequence),
-            {}, {}, true},
+    std::string path = std::string(changes_path) +
+                       "?epoch=" + std::to_string(r.epoch) +
+                       "&after=" + std::to_string(r.sequence);
+    if (store_era() != 0)
+    {
+        // A relay that does not know of a restore yet learns of it by this.
+        path += "&era=" + std::to_string(store_era());
+    }
+    r.channel.call({"GET", path, {}, {}, true},
         config::relay_poll_wait + config::relay_poll_margin,
         [this, &r](call_reply&& reply) { on_poll(r, std::move(reply)); });
 }
@@ -225,26 +299,7 @@
                                          : duration(config::relay_retry_delay);
     if (delta)
     {
-        r.has_replied = true;
-        r.epoch = delta->epoch;
-        r.sequence = delta->sequence;
-        last_update_at_ = monotonic_clock::now();
-        publish(merge_delta(view_, *delta, monotonic_clock::now()));
-        // A single relay may be behind: it may list objects that were deleted
-        // while it was cut off.
-        const auto replied = static_cast<std::size_t>(
-            std::count_if(relays_.begin(), relays_.end(),
-                [](const auto& other) { return other->has_replied; }));
-        const bool enough =
-            replied >= std::min(config::min_healthy_relays, relays_.size());
-        for (const auto& [kind, revision] : delta->revisions)
-        {
-            unconfirmed_kinds_.erase(kind);
-            if (enough)
-            {
-                unlisted_kinds_.erase(kind);
-            }
-        }
+        take_delta(r, *delta);
     }
     if (r.is_healthy() != was_healthy)
     {
@@ -265,6 +320,44 @@
         });
 }
 
+void
+change_hub::take_delta(relay& r, const change_delta& delta)
+{
+    const std::uint64_t era = newest_era(delta);
+    if (take_era(era))
+    {
+        restart_feeds();
+    }
+    r.has_replied = true;
+    r.epoch = delta.epoch;
+    r.sequence = delta.sequence;
+    publish(merge_delta(view_, delta, monotonic_clock::now()));
+    if (era < store_era())
+    {
+        // The relay does not know yet that the store was restored.
+        return;
+    }
+    last_update_at_ = monotonic_clock::now();
+    // A single relay may be behind: it may list objects that were deleted while
+    // it was cut off.
+    const auto replied = static_cast<std::size_t>(std::count_if(relays_.begin(),
+        relays_.end(), [](const auto& other) { return other->has_replied; }));
+    const bool enough =
+        replied >= std::min(config::min_healthy_relays, relays_.size());
+    for (const auto& [kind, revision] : delta.revisions)
+    {
+        if (revision.era < store_era())
+        {
+            continue;
+        }
+        unconfirmed_kinds_.erase(kind);
+        if (enough)
+        {
+            unlisted_kinds_.erase(kind);
+        }
+    }
+}
+
 /// Decides whether this VM follows the store itself: as a relay or with too few
 /// healthy relays, and then for at least `config::min_follow_store_time`, so
 /// that a flapping relay causes few calls to the store.
@@ -307,6 +400,11 @@
 change_hub::serve_poll(const std::string& path, poll_reply reply)
 {
     const monotonic_time now = monotonic_clock::now();
+    const std::uint64_t era = query_parameter(path, "&era");
+    if (era > 0 && take_era(era))
+    {
+        refresh();
+    }
     if (!is_current(now))
     {
         http_reply out;
--- a/src/change_hub.hpp
+++ b/src/change_hub.hpp
@@ -23,7 +23,8 @@
 namespace bramleymux
 {
 
-/// Path of the polls; the query is "?epoch=N&after=N".
+/// Path of the polls; the query is "?epoch=N&after=N", followed by "&era=N" if
+/// the store was ever restored.
 inline constexpr std::string_view changes_path = "/v1/changes";
 
 struct hub_handlers
@@ -32,8 +33,23 @@
     std::function<void(const store_change&)> on_change;
     /// Starts (true) or stops (false) following the store itself.
     std::function<void(bool)> follow_store;
+    /// Called when the store is found to be restored from an older copy, before
+    /// any of its objects in the new era.
+    std::function<void()> on_restore = {};
 };
 
+/// Era of a reply compared with the newest era that a VM knows of.
+enum class era_order
+{
+    current, ///< also if the reply proves no era
+    older,   ///< the reply tells nothing about the store now
+    newer,   ///< the sources were asked anew; the reply is not needed
+    count
+};
+
+/// Records the era of a reply of the store; see `change_hub`.
+using era_recorder = std::function<era_order(const call_reply&)>;
+
 class change_hub
 {
 public:
@@ -49,18 +65,24 @@
     /// Replaces all objects of a kind as of `revision`.
     void
     apply_list(const std::string& kind,
-        const std::vector<store_change>& objects, std::uint64_t revision);
+        const std::vector<store_change>& objects,
+        const store_revision& revision);
     /// Applies the changes of a watch, after which all objects of the kind are
     /// known as of `revision`.
     void
     apply_changes(const std::string& kind,
-        const std::vector<store_change>& changes, std::uint64_t revision);
+        const std::vector<store_change>& changes,
+        const store_revision& revision);
     /// Records whether a call of a feed succeeded.
     void
     record_store_result(bool succeeded);
     /// Records that the store replied, so that this VM still reaches it.
     void
     record_store_reply();
+    /// Records the era of a reply of the store. If it is newer than the one
+    /// known, asks the sources anew, which restarts the feeds.
+    era_order
+    record_store_era(const call_reply& reply);
 
     /// Sets the age of the last reply from the store beyond which this VM
     /// refuses polls.
@@ -111,6 +133,13 @@
         return unconfirmed_kinds_.empty();
     }
 
+    /// Returns the newest era of the store that this VM knows of.
+    std::uint64_t
+    store_era() const
+    {
+        return era_.value_or(0);
+    }
+
     /// Returns when the store last replied to this VM itself.
     monotonic_time
     last_store_reply_at() const
@@ -143,6 +172,13 @@
         poll_reply reply;
     };
 
+    /// Records an era that the store or another VM states. Returns whether it
+    /// is newer than one known before.
+    bool
+    take_era(std::uint64_t era);
+    /// Starts the feeds anew if this VM follows the store.
+    void
+    restart_feeds();
     void
     publish(const std::vector<store_change>& changes);
     void
@@ -152,6 +188,8 @@
     void
     on_poll(relay& r, call_reply&& reply);
     void
+    take_delta(relay& r, const change_delta& delta);
+    void
     update_following();
     void
     answer_polls(monotonic_time now);
@@ -172,6 +210,7 @@
     std::vector<std::unique_ptr<relay>> relays_;
     std::uint64_t last_relay_id_ = 0;
     std::list<pending_poll> pending_polls_;
+    std::optional<std::uint64_t> era_; ///< newest known; see store_revision
     duration data_max_age_;
     monotonic_time last_store_reply_at_{};
     monotonic_time last_update_at_{};
--- a/src/change_view.cpp
+++ b/src/change_view.cpp
@@ -29,7 +29,11 @@
 to_json(const store_change& change)
 {
     json out{{"kind", change.kind}, {"name", change.name},
-        {"revision", change.revision}};
+        {"revision", change.revision.number}};
+    if (change.revision.era != 0)
+    {
+        out["era"] = change.revision.era;
+    }
     if (change.deleted)
     {
         out["deleted"] = true;
@@ -41,40 +45,69 @@
     return out;
 }
 
-std::uint64_t
-known_revision(const change_view& view, const std::string& kind)
-{
-    const auto found = view.revisions.find(kind);
-    return found == view.revisions.end() ? 0 : found->second;
-}
-
-/// Returns whether an object that is not in the view was deleted: the view
-/// holds all objects of the kind as of a later revision.
-bool
-is_known_deleted(const change_view& view, const store_change& change)
-{
-    return change.revision <= known_revision(view, change.kind);
-}
-
 store_change
 change_from_json(const json& value)
 {
     store_change out;
     out.kind = value.at("kind").get<std::string>();
     out.name = value.at("name").get<std::string>();
-    out.revision = value.at("revision").get<std::uint64_t>();
+    out.revision = {value.value("era", std::uint64_t{0}),
+        value.at("revision").get<std::uint64_t>()};
     out.deleted = value.value("deleted", false);
     out.payload = value.value("payload", std::string());
     return out;
 }
 
+std::map<std::string, std::vector<store_change>>
+changes_by_kind(const change_delta& delta)
+{
+    std::map<std::string, std::vector<store_change>> out;
+    for (const auto& [kind, revision] : delta.revisions)
+    {
+        out[kind];
+    }
+    for (const store_change& change : delta.changes)
+    {
+        out[change.kind].push_back(change);
+    }
+    return out;
+}
+
+/// Returns the objects that the changes leave; the deletions among them show by
+/// the objects' absence.
+std::vector<store_change>
+live_objects(std::vector<store_change> changes)
+{
+    changes.erase(std::remove_if(changes.begin(), changes.end(),
+                      [](const store_change& c) { return c.deleted; }),
+        changes.end());
+    return changes;
+}
+
+/// Returns whether a delta that is not full replaces the kind nevertheless.
+bool
+starts_era(
+    const change_view& view, const change_delta& delta, const std::string& kind)
+{
+    const auto found = delta.revisions.find(kind);
+    return found != delta.revisions.end() &&
+           found->second.era > known_revision(view, kind).era;
+}
+
 } // namespace
 
+store_revision
+known_revision(const change_view& view, const std::string& kind)
+{
+    const auto found = view.revisions.find(kind);
+    return found == view.revisions.end() ? store_revision{} : found->second;
+}
+
 void
 raise_revision(
-    change_view& view, const std::string& kind, std::uint64_t revision)
+    change_view& view, const std::string& kind, const store_revision& revision)
 {
-    std::uint64_t& known = view.revisions[kind];
+    store_revision& known = view.revisions[kind];
     known = std::max(known, revision);
 }
 
@@ -83,12 +116,21 @@
 {
     const auto key = std::make_pair(change.kind, change.name);
     const auto found = view.items.find(key);
-    if (found == view.items.end() &&
-        (change.deleted || is_known_deleted(view, change)))
+    const store_revision known = known_revision(view, change.kind);
+    if (change.revision.era < known.era)
     {
         return false;
     }
-    if (found != view.items.end() && !is_newer(change, found->second.object))
+    // The revision of a deletion from an earlier era says nothing about changes
+    // of this era.
+    const bool lacked = found == view.items.end() ||
+                        (found->second.object.deleted &&
+                            found->second.object.revision.era < known.era);
+    if (lacked && (change.deleted || change.revision <= known))
+    {
+        return false;
+    }
+    if (!lacked && !is_newer(change, found->second.object))
     {
         return false;
     }
@@ -101,7 +143,7 @@
 
 std::vector<store_change>
 replace_kind(change_view& view, const std::string& kind,
-    const std::vector<store_change>& objects, std::uint64_t revision,
+    const std::vector<store_change>& objects, const store_revision& revision,
     monotonic_time now)
 {
     std::vector<store_change> out;
@@ -109,8 +151,8 @@
     if (revision >= known_revision(view, kind))
     {
         // The list is no older than the view, so it may add objects that the
-        // view has missed.
-        view.revisions.erase(kind);
+        // view has missed. It keeps out changes of earlier eras.
+        view.revisions[kind] = {revision.era, 0};
     }
     for (const store_change& object : objects)
     {
@@ -161,36 +203,29 @@
 merge_delta(change_view& view, const change_delta& delta, monotonic_time now)
 {
     std::vector<store_change> out;
-    if (!delta.full)
+    for (const auto& [kind, changes] : changes_by_kind(delta))
     {
-        for (const store_change& change : delta.changes)
+        const auto known = delta.revisions.find(kind);
+        const store_revision revision =
+            known == delta.revisions.end() ? store_revision{} : known->second;
+        if (delta.full || starts_era(view, delta, kind))
+        {
+            const auto changed =
+                replace_kind(view, kind, live_objects(changes), revision, now);
+            out.insert(out.end(), changed.begin(), changed.end());
+            continue;
+        }
+        for (const store_change& change : changes)
         {
             if (apply(view, change, now))
             {
                 out.push_back(change);
             }
         }
-        for (const auto& [kind, revision] : delta.revisions)
+        if (known != delta.revisions.end())
         {
             raise_revision(view, kind, revision);
         }
-        return out;
-    }
-    std::map<std::string, std::vector<store_change>> by_kind;
-    for (const auto& [kind, revision] : delta.revisions)
-    {
-        by_kind[kind];
-    }
-    for (const store_change& change : delta.changes)
-    {
-        by_kind[change.kind].push_back(change);
-    }
-    for (const auto& [kind, objects] : by_kind)
-    {
-        const auto known = delta.revisions.find(kind);
-        const auto changed = replace_kind(view, kind, objects,
-            known == delta.revisions.end() ? 0 : known->second, now);
-        out.insert(out.end(), changed.begin(), changed.end());
     }
     return out;
 }
@@ -224,11 +259,25 @@
     {
         changes.push_back(to_json(change));
     }
+    json revisions = json::object();
+    json eras = json::object();
+    for (const auto& [kind, revision] : delta.revisions)
+    {
+        revisions[kind] = revision.number;
+        if (revision.era != 0)
+        {
+            eras[kind] = revision.era;
+        }
+    }
+    json value{{"epoch", delta.epoch}, {"sequence", delta.sequence},
+        {"full", delta.full}, {"revisions", std::move(revisions)},
+        {"changes", std::move(changes)}};
+    if (!eras.empty())
+    {
+        value["eras"] = std::move(eras);
+    }
     std::string out;
-    json::to_cbor(json{{"epoch", delta.epoch}, {"sequence", delta.sequence},
-                      {"full", delta.full}, {"revisions", delta.revisions},
-                      {"changes", std::move(changes)}},
-        out);
+    json::to_cbor(value, out);
     return out;
 }
 
@@ -242,7 +291,13 @@
         out.epoch = value.at("epoch").get<std::uint64_t>();
         out.sequence = value.at("sequence").get<std::uint64_t>();
         out.full = value.at("full").get<bool>();
-        out.revisions = value.at("revisions").get<kind_revisions>();
+        const json eras = value.value("eras", json::object());
+        const auto numbers =
+            value.at("revisions").get<std::map<std::string, std::uint64_t>>();
+        for (const auto& [kind, number] : numbers)
+        {
+            out.revisions[kind] = {eras.value(kind, std::uint64_t{0}), number};
+        }
         for (const json& change : value.at("changes"))
         {
             out.changes.push_back(change_from_json(change));
--- a/src/change_view.hpp
+++ b/src/change_view.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "store_revision.hpp"
+
 #include <bramleymux/types.hpp>
 
 #include <cstdint>
@@ -18,13 +20,13 @@
 {
     std::string kind;
     std::string name;
-    std::uint64_t revision = 0; ///< of the object's last change
+    store_revision revision; ///< of the object's last change
     bool deleted = false;
     std::string payload; ///< opaque; not used for a deletion
 };
 
 /// For each kind, the revision of the store up to which its objects are known.
-using kind_revisions = std::map<std::string, std::uint64_t>;
+using kind_revisions = std::map<std::string, store_revision>;
 
 /// Changes of a view since a cursor (epoch and sequence).
 struct change_delta
@@ -39,6 +41,8 @@
 };
 
 /// Objects by kind and name. Deletions are kept for a while for the deltas.
+/// While a kind is known as of an era of the store, all of its objects belong
+/// to that era or to a later one.
 struct change_view
 {
     struct item
@@ -58,9 +62,10 @@
 };
 
 /// Applies a change. Returns false if the view has the same or a newer state of
-/// the object, if the change deletes an object that is not in the view, or if
-/// the view lacks the object though it holds the kind as of a later revision:
-/// the object was deleted, and the source of the change is behind.
+/// the object, if the change deletes an object that is not in the view, if the
+/// view holds the kind as of a later era, or if the view lacks the object
+/// though it holds the kind as of a later revision: the object was deleted, and
+/// the source of the change is behind.
 bool
 apply(change_view& view, const store_change& change, monotonic_time now);
 
@@ -69,13 +74,17 @@
 /// the changes, including deletions.
 std::vector<store_change>
 replace_kind(change_view& view, const std::string& kind,
-    const std::vector<store_change>& objects, std::uint64_t revision,
+    const std::vector<store_change>& objects, const store_revision& revision,
     monotonic_time now);
 
 /// Records that the view holds all objects of the kind as of `revision`.
 void
 raise_revision(
-    change_view& view, const std::string& kind, std::uint64_t revision);
+    change_view& view, const std::string& kind, const store_revision& revision);
+
+/// Returns the revision as of which the view holds the kind; {0, 0} if none.
+store_revision
+known_revision(const change_view& view, const std::string& kind);
 
 /// Returns the changes after `sequence`, or a full delta if the cursor belongs
 /// to another instance or is older than a pruned deletion.
@@ -83,7 +92,10 @@
 delta_since(
     const change_view& view, std::uint64_t epoch, std::uint64_t sequence);
 
-/// Applies the delta of another view. Returns the changes of this view.
+/// Applies the delta of another view. Returns the changes of this view. A kind
+/// that the delta holds as of a later era than the view is replaced as a whole,
+/// also if the delta is not full: its source listed the kind anew in that era,
+/// so every object has changed there since the last delta.
 std::vector<store_change>
 merge_delta(change_view& view, const change_delta& delta, monotonic_time now);
 
--- a/src/rollout.hpp
+++ b/src/rollout.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "store_revision.hpp"
 #include "version_test.hpp"
 
 #include <bramleymux/types.hpp>
@@ -30,8 +31,10 @@
     std::string service;
     std::string version; ///< version that receives the traffic
     duration time_limit{};
-    std::uint64_t revision = 0; ///< of the object, for conditional writes
-    std::uint64_t created = 0;  ///< with `version`, identifies the order
+    store_revision revision; ///< of the object, for conditional writes
+    /// With `version`, identifies the order. Has no era: the store states only
+    /// the number, also for an order from before a restore.
+    std::uint64_t created = 0;
     rollout_state state = rollout_state::running;
     bool acknowledged = false; ///< `state` was written for this `version`
 };
--- a/src/rollout_controller.cpp
+++ b/src/rollout_controller.cpp
@@ -58,9 +58,48 @@
         r.decided_at = now;
         log_verdict(r, pooled_counts(order));
     }
+    r.held = false;
+    compare_with_store(r, now);
     decide(r, now);
 }
 
+void
+rollout_controller::compare_with_store(rollout& r, monotonic_time now)
+{
+    const rollout_order& order = r.order;
+    if (order.acknowledged && order.state == r.verdict)
+    {
+        r.stored_at = r.verdict == rollout_state::running
+                          ? std::nullopt
+                          : std::optional<store_revision>(order.revision);
+        r.lost = false;
+        return;
+    }
+    const bool lost = r.verdict != rollout_state::running && r.stored_at &&
+                      order.revision.era > r.stored_at->era;
+    if (lost && !r.lost)
+    {
+        r.lost = true;
+        r.decided_at = now; // the ranks of the VMs stagger the write again
+    }
+}
+
+void
+rollout_controller::hold(const std::string& service)
+{
+    const auto found = rollouts_.find(service);
+    if (found != rollouts_.end())
+    {
+        found->second.held = true;
+    }
+}
+
+void
+rollout_controller::repeat_report()
+{
+    reported_replies_ = -1;
+}
+
 void
 rollout_controller::remove(const std::string& service)
 {
@@ -134,8 +173,9 @@
     const rollout_progress progress{now - r.seen_at, r.order.time_limit, counts,
         handlers_.is_evidence_current()};
     const bool written = r.order.acknowledged && r.order.state == r.verdict;
-    const bool open = r.verdict == rollout_state::running ||
-                      (r.verdict == rollout_state::completed && !written);
+    const bool open =
+        r.verdict == rollout_state::running ||
+        (r.verdict == rollout_state::completed && !written && !r.lost);
     const rollout_state next = open ? verdict_of(progress, limits_) : r.verdict;
     if (next != r.verdict)
     {
@@ -172,12 +212,13 @@
 rollout_controller::write_if_due(rollout& r, monotonic_time now)
 {
     const bool written = r.order.acknowledged && r.order.state == r.verdict;
-    if (written || now < r.decided_at + write_delay() || now < r.next_write_at)
+    if (written || r.held || now < r.decided_at + write_delay() ||
+        now < r.next_write_at)
     {
         return;
     }
     r.next_write_at = now + config::rollout_write_retry;
-    handlers_.write_state(r.order, r.verdict);
+    handlers_.write_state(r.order, r.verdict, r.lost);
 }
 
 /// Writes a report if there are new replies. The period grows with the number
@@ -256,7 +297,7 @@
                     std::chrono::duration_cast<std::chrono::milliseconds>(
                         now - r.seen_at)
                         .count()},
-                {"revision", r.order.revision}});
+                {"revision", r.order.revision.number}});
     }
 }
 
--- a/src/rollout_controller.hpp
+++ b/src/rollout_controller.hpp
@@ -31,7 +31,8 @@
 
 struct rollout_handlers
 {
-    std::function<void(const rollout_order&, rollout_state)> write_state;
+    /// The flag marks a state that the store had before it was restored.
+    std::function<void(const rollout_order&, rollout_state, bool)> write_state;
     std::function<void(const rollout_report&)> write_report;
     /// Called with true when reports of other VMs are needed, with false when
     /// they no longer are.
@@ -59,6 +60,16 @@
     void
     remove(const std::string& service);
 
+    /// Keeps the share of a rollout that the restored store lacks, but writes
+    /// nothing, until the next `put` or `remove`.
+    void
+    hold(const std::string& service);
+
+    /// Writes the next report also without new replies, since the restored
+    /// store may lack the last one.
+    void
+    repeat_report();
+
     /// Stores the latest report of a VM. Reports of this VM itself are ignored.
     void
     take_report(const std::string& vm, rollout_report&& report);
@@ -80,13 +91,22 @@
         rollout_state verdict = rollout_state::running;
         monotonic_time decided_at{};
         monotonic_time next_write_at{};
+        /// Revision at which the store had the final verdict, if it had it.
+        std::optional<store_revision> stored_at;
+        /// The store had the verdict, was restored, and shows another state.
+        bool lost = false;
+        bool held = false; ///< see `hold`
     };
 
     /// Updates the verdict and the share. The verdict `completed` is reviewed
     /// until the store shows it, since evidence may arrive before the write.
+    /// One that the store lost again by a restore stands: targets of the former
+    /// version may have stopped on it.
     void
     decide(rollout& r, monotonic_time now);
     void
+    compare_with_store(rollout& r, monotonic_time now);
+    void
     apply_share(const rollout& r, double share);
     void
     write_if_due(rollout& r, monotonic_time now);
--- a/src/target_pool.cpp
+++ b/src/target_pool.cpp
@@ -152,7 +152,7 @@
 }
 
 void
-target_pool::put(const target_record& record)
+target_pool::put(const target_record& record, std::uint64_t era)
 {
     const auto endpoint = parse_endpoint(record.address);
     if (!endpoint)
@@ -185,11 +185,22 @@
     entry& e = *slot;
     const bool was_leaving = e.state.record.leaving;
     e.state.record = record;
+    if (record.leaving)
+    {
+        announced_[record.id] = {record.started_ms, monotonic_clock::now()};
+    }
     e.state.lapsed_at.reset();
     plan_links_of(e);
     plan_rate_of(e);
-    record_cold_start(
-        e.state, record.cold_start_left, context_of(e.service), random_);
+    const choice_context context = context_of(e.service);
+    const bool restored = !fresh && era > e.era;
+    e.era = era;
+    record_cold_start(e.state,
+        restored
+            ? std::min(record.cold_start_left,
+                  std::max(e.state.cold_until - context.now, duration::zero()))
+            : record.cold_start_left,
+        context, random_);
     if (fresh || was_leaving != record.leaving)
     {
         log_target(
--- a/src/target_pool.hpp
+++ b/src/target_pool.hpp
@@ -96,14 +96,22 @@
     }
 
     /// Adds or updates a registration; one with an invalid address is ignored.
+    /// The first one of a process in a newer era of the store may be an older
+    /// copy, so it does not prolong a cold start.
     void
-    put(const target_record& record);
+    put(const target_record& record, std::uint64_t era = 0);
 
     /// Removes a registration. The target stays available as a last resort for
     /// `config::lapsed_grace`, or less if `pool_options::leave_bound` is short.
     void
     remove(const std::string& id);
 
+    /// Treats the targets whose registrations said that they leave as leaving
+    /// from now on, whatever their registrations say. Call when the store was
+    /// restored from a copy that may be older than those registrations.
+    void
+    keep_leaving();
+
     /// Sets the evacuated zones; their targets get no requests.
     void
     set_zones_out(std::vector<std::string> zones);
@@ -338,6 +346,9 @@
     /// By target id. Kept longer than the entries, since a registration can
     /// lapse and come back.
     std::unordered_map<std::string, departure> departures_;
+    /// By target id: processes whose registrations said that they leave, as
+    /// long as their targets are kept and for `config::departure_retention`.
+    std::unordered_map<std::string, departure> announced_;
     std::unordered_map<std::string, std::unique_ptr<service_state>> services_;
     std::unordered_map<send_id, pending_send> sends_;
     send_id last_send_ = 0;
--- a/src/target_pool_reply.cpp
+++ b/src/target_pool_reply.cpp
@@ -115,9 +115,31 @@
            found->second.started_ms == record.started_ms;
 }
 
+void
+target_pool::keep_leaving()
+{
+    const monotonic_time now = monotonic_clock::now();
+    for (const auto& [id, announced] : announced_)
+    {
+        departures_[id] = {announced.started_ms, now};
+        const auto found = entries_.find(id);
+        if (found != entries_.end() &&
+            has_departed(found->second->state.record))
+        {
+            found->second->state.said_leaving = true;
+        }
+    }
+}
+
 void
 target_pool::forget_departures(monotonic_time now)
 {
+    for (auto it = announced_.begin(); it != announced_.end();)
+    {
+        const bool kept = entries_.count(it->first) != 0;
+        const bool old = now - it->second.at > config::departure_retention;
+        it = old && !kept ? announced_.erase(it) : std::next(it);
+    }
     for (auto it = departures_.begin(); it != departures_.end();)
     {
         const bool old = now - it->second.at > config::departure_retention;
--- a/src/target_pool_state.hpp
+++ b/src/target_pool_state.hpp
@@ -34,6 +34,7 @@
     boost::asio::ip::tcp::endpoint endpoint;
     service_state* service = nullptr;
     std::vector<std::shared_ptr<target_link>> links;
+    std::uint64_t era = 0;     ///< of the store, when last put
     double hash = 0.0;         ///< of the target's id, 0 to 1
     std::size_t max_links = 1; ///< connections of this VM
     std::weak_ptr<target_link> probe_link;
--- a/tests/soak/store.cpp
+++ b/tests/soak/store.cpp
@@ -21,6 +21,8 @@
 constexpr int status_bad = 400;
 constexpr int status_missing = 404;
 constexpr int status_conflict = 409;
+constexpr int status_gone = 410;
+constexpr int status_unavailable = 503;
 
 /// Returns a number of the query string, or 0.
 std::uint64_t
@@ -102,12 +104,44 @@
         [&](const waiting_watch& w) { return cut && w.path == path; });
 }
 
+void
+stand_in_store::save()
+{
+    saved_ = {revision_, objects_, history_};
+}
+
+void
+stand_in_store::restore()
+{
+    ++era_;
+    revision_ = saved_.revision;
+    objects_ = saved_.objects;
+    history_ = saved_.history;
+    answer_watches();
+}
+
+void
+stand_in_store::set_refusing(bool refusing)
+{
+    refusing_ = refusing;
+}
+
+bool
+stand_in_store::has(const std::string& kind, const std::string& name) const
+{
+    return objects_.count({kind, name}) != 0;
+}
+
 http_reply
 stand_in_store::reply_with(int status, const json& body) const
 {
     http_reply out;
     out.status = status;
     out.fields.push_back({"Content-Type", "application/json"});
+    if (era_ > 0)
+    {
+        out.fields.push_back({"Store-Era", std::to_string(era_)});
+    }
     out.body = body.dump();
     for (const auto& [mark, text] : texts_)
     {
@@ -153,6 +187,11 @@
     {
         return;
     }
+    if (refusing_)
+    {
+        connection->answer(reply_with(status_unavailable, json::object()));
+        return;
+    }
     const call c(request);
     if (!c.known || c.kind.empty())
     {
@@ -338,7 +377,8 @@
     for (auto it = watches_.begin(); it != watches_.end();)
     {
         const auto events = events_after(it->kind, it->after);
-        if (events.empty() && now < it->until)
+        const bool gone = it->after > revision_;
+        if (!gone && events.empty() && now < it->until)
         {
             ++it;
             continue;
@@ -346,7 +386,9 @@
         if (const auto connection = it->connection.lock())
         {
             connection->answer(
-                reply_with(status_ok, {{"events", events}, {"at", revision_}}));
+                gone ? reply_with(status_gone, json::object())
+                     : reply_with(
+                           status_ok, {{"events", events}, {"at", revision_}}));
         }
         it = watches_.erase(it);
     }
--- a/tests/soak/store.hpp
+++ b/tests/soak/store.hpp
@@ -18,7 +18,8 @@
 
 /// Stand-in of the platform's store: objects by kind and name with revisions,
 /// list, get, watch, POST, PUT and DELETE. Has no rates or costs. Each VM has a
-/// path of its own, which can be cut.
+/// path of its own, which can be cut. Can be restored from an older copy of
+/// itself; from then on, replies state the number of restores.
 class stand_in_store
 {
 public:
@@ -31,6 +32,28 @@
     void
     set_cut(std::size_t path, bool cut);
 
+    /// Keeps a copy for `restore`.
+    void
+    save();
+
+    /// Goes back to the copy. Revisions are given out again; a watch from one
+    /// that the copy does not have gets 410.
+    void
+    restore();
+
+    /// While set, answers every call with 503, which states the era.
+    void
+    set_refusing(bool refusing);
+
+    bool
+    has(const std::string& kind, const std::string& name) const;
+
+    std::uint64_t
+    revision() const
+    {
+        return revision_;
+    }
+
     /// Writes an object as the operator or a target does.
     void
     put(const std::string& kind, const std::string& name, nlohmann::json spec);
@@ -75,6 +98,13 @@
 
     struct call;
 
+    struct copy
+    {
+        std::uint64_t revision = 1;
+        std::map<key, nlohmann::json> objects;
+        std::vector<event> history;
+    };
+
     void
     accept(std::size_t path);
     void
@@ -103,6 +133,9 @@
     boost::asio::io_context& loop_;
     std::vector<path> paths_;
     boost::asio::steady_timer timer_;
+    std::uint64_t era_ = 0; ///< restores so far
+    bool refusing_ = false;
+    copy saved_;
     std::uint64_t revision_ = 1;
     std::map<key, nlohmann::json> objects_;
     std::vector<event> history_;
--- a/tests/test_change_hub.cpp
+++ b/tests/test_change_hub.cpp
@@ -3,6 +3,8 @@
 #include "entry_fixture.hpp"
 #include "property.hpp"
 
+#include <nlohmann/json.hpp>
+
 #include <fcntl.h>
 
 using namespace bramleymux;
@@ -14,9 +16,10 @@
 const monotonic_time start{std::chrono::hours(1)};
 
 store_change
-object(const std::string& name, std::uint64_t revision, bool deleted = false)
+object(const std::string& name, std::uint64_t revision, bool deleted = false,
+    std::uint64_t era = 0)
 {
-    return {"servers", name, revision, deleted,
+    return {"servers", name, {era, revision}, deleted,
         deleted ? "" : name + "@" + std::to_string(revision)};
 }
 
@@ -29,7 +32,7 @@
     {
         if (!item.object.deleted)
         {
-            out[key.second] = item.object.revision;
+            out[key.second] = item.object.revision.number;
         }
     }
     return out;
@@ -60,91 +63,274 @@
     apply(view, object("a", 5), start);
     apply(view, object("late", 12), start);
     const auto changes =
-        replace_kind(view, "servers", {object("b", 7)}, 10, start);
+        replace_kind(view, "servers", {object("b", 7)}, {0, 10}, start);
     CHECK(changes.size() == 2);
     CHECK(live_objects(view) ==
           std::map<std::string, std::uint64_t>{{"b", 7}, {"late", 12}});
 }
 
-// Guards against a follower that ends up with other objects than its relays
-// after any sequence of changes, deltas, pruned deletions and relay restarts.
+namespace
+{
+
+/// A store that can be restored to an older copy of itself, after which it
+/// gives out its revisions again.
+struct restorable_store
+{
+    struct copy
+    {
+        std::map<std::string, std::uint64_t> objects; ///< revisions by name
+        std::uint64_t revision = 0;
+    };
+
+    void
+    put(const std::string& name)
+    {
+        now.objects[name] = ++now.revision;
+        history.push_back(object(name, now.revision, false, era));
+    }
+
+    void
+    remove(const std::string& name)
+    {
+        const auto found = now.objects.find(name);
+        if (found != now.objects.end())
+        {
+            history.push_back(object(name, found->second, true, era));
+            now.objects.erase(found);
+            ++now.revision;
+        }
+    }
+
+    /// Returns to the copy, or to the empty store if there is none.
+    void
+    restore()
+    {
+        now = saved;
+        ++era;
+        history.clear();
+    }
+
+    std::vector<store_change>
+    list() const
+    {
+        std::vector<store_change> out;
+        for (const auto& [name, revision] : now.objects)
+        {
+            out.push_back(object(name, revision, false, era));
+        }
+        return out;
+    }
+
+    copy now;
+    copy saved;
+    std::uint64_t era = 0;
+    std::vector<store_change> history; ///< changes of this era
+};
+
+/// A relay of `restorable_store`: lists at its start and in each new era, and
+/// reads the changes since.
+struct store_reader
+{
+    void
+    catch_up(const restorable_store& store, monotonic_time now)
+    {
+        if (!listed || era != store.era)
+        {
+            list(store, now);
+        }
+        for (; read < store.history.size(); ++read)
+        {
+            apply(view, store.history[read], now);
+        }
+        raise_revision(view, "servers", {store.era, store.now.revision});
+    }
+
+    void
+    list(const restorable_store& store, monotonic_time now)
+    {
+        replace_kind(view, "servers", store.list(),
+            {store.era, store.now.revision}, now);
+        listed = true;
+        era = store.era;
+        read = store.history.size();
+    }
+
+    void
+    restart(std::uint64_t epoch)
+    {
+        *this = {};
+        view.epoch = epoch;
+    }
+
+    change_view view;
+    bool listed = false;
+    std::uint64_t era = 0;
+    std::size_t read = 0;
+};
+
+} // namespace
+
+// Guards against a follower that ends up with other objects than the store
+// after any sequence of changes, lists, deltas, pruned deletions, restarts and
+// restores of the store, and against knowledge of an older era that replaces
+// what a view knows of a newer one.
 TEST_CASE(
     "a follower of two relays converges to the store's objects", "[entry]")
 {
     const auto property = [](const std::vector<std::uint8_t>& steps)
     {
-        std::array<change_view, 2> relays;
+        restorable_store store;
+        std::array<store_reader, 2> relays;
         std::array<std::pair<std::uint64_t, std::uint64_t>, 2> cursors{};
-        relays[0].epoch = 1;
-        relays[1].epoch = 2;
-        std::vector<store_change> history;
-        std::map<std::string, std::uint64_t> store;
-        std::array<std::size_t, 2> applied{};
+        std::uint64_t epochs = 0;
+        for (store_reader& relay : relays)
+        {
+            relay.restart(++epochs);
+        }
         change_view follower;
+        std::uint64_t follower_era = 0;
         monotonic_time now = start;
-        const auto catch_up = [&](std::size_t r, std::size_t end)
+        const auto check_era = [&]
         {
-            for (; applied[r] < end; ++applied[r])
+            const std::uint64_t known = known_revision(follower, "servers").era;
+            RC_ASSERT(known >= follower_era);
+            follower_era = known;
+            for (const auto& [key, item] : follower.items)
             {
-                apply(relays[r], history[applied[r]], now);
-                relays[r].revisions["servers"] = history[applied[r]].revision;
+                RC_ASSERT(item.object.deleted ||
+                          item.object.revision.era >= follower_era);
             }
         };
         const auto follow = [&](std::size_t r)
         {
-            const auto encoded = encode_delta(
-                delta_since(relays[r], cursors[r].first, cursors[r].second));
+            const auto encoded = encode_delta(delta_since(
+                relays[r].view, cursors[r].first, cursors[r].second));
             const auto delta = decode_delta(encoded);
             RC_ASSERT(delta.has_value());
             merge_delta(follower, *delta, now);
             cursors[r] = {delta->epoch, delta->sequence};
+            check_era();
         };
         for (const std::uint8_t step : steps)
         {
             now += 5s;
             const std::string name(1, static_cast<char>('a' + step % 5));
             const std::size_t r = step / 8 % 2;
-            switch (step / 32)
+            switch (step / 16)
             {
             case 0:
             case 1:
             case 2:
-                history.push_back(object(name, history.size() + 1));
-                store[name] = history.back().revision;
-                break;
             case 3:
-                if (store.count(name) != 0)
-                {
-                    history.push_back(object(name, store[name], true));
-                    store.erase(name);
-                }
-                break;
             case 4:
-                catch_up(r, history.size());
+                store.put(name);
                 break;
             case 5:
+            case 6:
+                store.remove(name);
+                break;
+            case 7:
+            case 8:
+                relays[r].catch_up(store, now);
+                break;
+            case 9:
+            case 10:
                 follow(r);
                 break;
-            case 6:
-                prune_deletions(relays[r], now);
+            case 11:
+                prune_deletions(relays[r].view, now);
+                break;
+            case 12:
+                relays[r].list(store, now);
+                break;
+            case 13:
+                relays[r].restart(++epochs);
+                relays[r].catch_up(store, now);
+                break;
+            case 14:
+                store.saved = store.now;
                 break;
             default:
-                relays[r] = change_view{};
-                relays[r].epoch = 10 + history.size();
-                applied[r] = 0;
-                catch_up(r, history.size());
+                store.restore();
                 break;
             }
         }
         for (std::size_t r = 0; r < relays.size(); ++r)
         {
-            catch_up(r, history.size());
+            relays[r].catch_up(store, now);
             follow(r);
+            RC_ASSERT(live_objects(relays[r].view) == store.now.objects);
         }
-        RC_ASSERT(live_objects(relays[0]) == store);
-        RC_ASSERT(live_objects(follower) == store);
+        RC_ASSERT(live_objects(follower) == store.now.objects);
+        RC_ASSERT(known_revision(follower, "servers").era == store.era);
     };
-    CHECK(test::holds(21, 300, property));
+    CHECK(test::holds(21, 2000, property));
+}
+
+// Guards against revisions that are given out again: with a smaller number, the
+// object of the newer era is still the newer one, and the older era's change
+// and list are refused.
+TEST_CASE("a newer era wins over any number of an older one", "[entry]")
+{
+    change_view view;
+    replace_kind(view, "servers", {object("a", 90), object("lost", 80)},
+        {0, 100}, start);
+    const auto changes = replace_kind(
+        view, "servers", {object("a", 20, false, 1)}, {1, 50}, start);
+    CHECK(changes.size() == 2);
+    const std::map<std::string, std::uint64_t> expected{{"a", 20}};
+    CHECK(live_objects(view) == expected);
+    CHECK(!apply(view, object("a", 95), start));
+    CHECK(!apply(view, object("lost", 95), start));
+    CHECK(!apply(view, object("a", 90, true), start));
+    // A source that is behind in the new era does not bring the object back.
+    CHECK(!apply(view, object("lost", 40, false, 1), start));
+    replace_kind(view, "servers", {object("lost", 99)}, {0, 120}, start);
+    CHECK(live_objects(view) == expected);
+    CHECK(known_revision(view, "servers") == store_revision{1, 50});
+    CHECK(apply(view, object("lost", 51, false, 1), start));
+}
+
+// Guards against an object that only this VM knew before a restore and that a
+// relay's delta, which is not full, does not name as deleted.
+TEST_CASE("the first delta of a new era replaces the kind", "[entry]")
+{
+    change_view relay;
+    relay.epoch = 1;
+    replace_kind(relay, "servers", {object("a", 5)}, {0, 10}, start);
+    change_view follower;
+    const change_delta first = delta_since(relay, 0, 0);
+    merge_delta(follower, first, start);
+    apply(follower, object("other", 30), start);
+    replace_kind(relay, "servers", {object("a", 5, false, 1)}, {1, 8}, start);
+    const change_delta next = delta_since(relay, first.epoch, first.sequence);
+    CHECK(!next.full);
+    merge_delta(follower, next, start);
+    CHECK(live_objects(follower) ==
+          std::map<std::string, std::uint64_t>{{"a", 5}});
+}
+
+// Guards against other bytes between VMs while the store states no era, and
+// against an era that is lost on the way.
+TEST_CASE("a delta carries eras only after a restore", "[entry]")
+{
+    change_view view;
+    view.epoch = 3;
+    replace_kind(view, "servers", {object("a", 5)}, {0, 10}, start);
+    const auto json_of = [&] {
+        return nlohmann::json::from_cbor(encode_delta(delta_since(view, 0, 0)));
+    };
+    CHECK(
+        json_of() ==
+        nlohmann::json::parse(
+            R"({"epoch":3,"sequence":1,"full":true,"revisions":{"servers":10},)"
+            R"("changes":[{"kind":"servers","name":"a","revision":5,)"
+            R"("payload":"a@5"}]})"));
+    replace_kind(view, "servers", {object("a", 5, false, 2)}, {2, 7}, start);
+    const auto delta = decode_delta(encode_delta(delta_since(view, 0, 0)));
+    REQUIRE(delta);
+    CHECK(delta->revisions.at("servers") == store_revision{2, 7});
+    CHECK(delta->changes.at(0).revision == store_revision{2, 5});
 }
 
 // Guards against a target that has left and is used again because one relay,
@@ -154,14 +340,14 @@
     // The object was registered at revision 12 and deleted at revision 21.
     change_view behind;
     behind.epoch = 1;
-    replace_kind(
-        behind, "servers", {object("gone", 12), object("a", 5)}, 13, start);
+    replace_kind(behind, "servers", {object("gone", 12), object("a", 5)},
+        {0, 13}, start);
     change_view current;
     current.epoch = 2;
-    replace_kind(current, "servers", {object("a", 5)}, 13, start);
+    replace_kind(current, "servers", {object("a", 5)}, {0, 13}, start);
     apply(current, object("gone", 12), start);
     apply(current, object("gone", 12, true), start);
-    raise_revision(current, "servers", 21);
+    raise_revision(current, "servers", {0, 21});
     prune_deletions(current, start + 2min);
     const std::map<std::string, std::uint64_t> expected{{"a", 5}};
 
@@ -177,7 +363,7 @@
 
     // A change that the source behind passes on later has no effect either.
     merge_delta(behind_last,
-        {1, 3, false, {{"servers", 13}}, {object("gone", 12)}}, start);
+        {1, 3, false, {{"servers", {0, 13}}}, {object("gone", 12)}}, start);
     CHECK(live_objects(behind_last) == expected);
 }
 
@@ -186,14 +372,14 @@
 TEST_CASE("a current list adds an object that the view missed", "[entry]")
 {
     change_view view;
-    replace_kind(view, "servers", {object("a", 5)}, 10, start);
+    replace_kind(view, "servers", {object("a", 5)}, {0, 10}, start);
     CHECK(!apply(view, object("missed", 8), start));
     replace_kind(
-        view, "servers", {object("a", 5), object("missed", 8)}, 10, start);
+        view, "servers", {object("a", 5), object("missed", 8)}, {0, 10}, start);
     CHECK(live_objects(view) ==
           std::map<std::string, std::uint64_t>{{"a", 5}, {"missed", 8}});
     // A stale list neither adds nor deletes.
-    replace_kind(view, "servers", {object("old", 3)}, 4, start);
+    replace_kind(view, "servers", {object("old", 3)}, {0, 4}, start);
     CHECK(live_objects(view) ==
           std::map<std::string, std::uint64_t>{{"a", 5}, {"missed", 8}});
 }
@@ -288,7 +474,7 @@
           hub(loop, parts.counters, parts.log, std::move(id), "north",
               {"servers"},
               {[this](const store_change& c)
-                  { revisions[c.name] = c.deleted ? 0 : c.revision; },
+                  { revisions[c.name] = c.deleted ? 0 : c.revision.number; },
                   [this](bool follow) { follows = follow; }})
     {
         REQUIRE(server.listen("127.0.0.1:0", "", "", "127.0.0.1:0"));
@@ -348,7 +534,7 @@
         relay->hub.set_vms(vms);
         REQUIRE(relay->follows);
         relay->hub.record_store_result(true);
-        relay->hub.apply_list("servers", {object("a", 1)}, 1);
+        relay->hub.apply_list("servers", {object("a", 1)}, {0, 1});
     }
     follower.hub.set_vms(vms);
     CHECK(!follower.follows);
@@ -371,8 +557,8 @@
 
     // One relay loses the store; the others pass the change on.
     relays[0]->hub.record_store_result(false);
-    relays[1]->hub.apply_changes("servers", {object("b", 2)}, 2);
-    relays[2]->hub.apply_changes("servers", {object("b", 2)}, 2);
+    relays[1]->hub.apply_changes("servers", {object("b", 2)}, {0, 2});
+    relays[2]->hub.apply_changes("servers", {object("b", 2)}, {0, 2});
     run_until([&] { return follower.revisions["b"] == 2; });
     CHECK(!follower.follows);
 
@@ -402,7 +588,7 @@
         {
             relay->hub.set_vms(vms);
             relay->hub.record_store_result(true);
-            relay->hub.apply_list("servers", {object("a", 1)}, 1);
+            relay->hub.apply_list("servers", {object("a", 1)}, {0, 1});
         }
     }
 
@@ -502,7 +688,7 @@
     CHECK(*fleet.poll(relay) == 503);
     relay.hub.record_store_result(true);
     CHECK(*fleet.poll(relay) == 503);
-    relay.hub.apply_list("servers", {object("a", 1)}, 3);
+    relay.hub.apply_list("servers", {object("a", 1)}, {0, 3});
     CHECK(relay.hub.is_confirmed());
     CHECK(*fleet.poll(relay) == 200);
 }
@@ -519,7 +705,7 @@
     CHECK(!fleet.follower->hub.is_confirmed());
     for (const auto& relay : fleet.relays)
     {
-        relay->hub.apply_changes("servers", {object("b", 2)}, 2);
+        relay->hub.apply_changes("servers", {object("b", 2)}, {0, 2});
     }
     fleet.run_until([&] { return fleet.follower->hub.is_confirmed(); });
     CHECK(fleet.follower->revisions["b"] == 2);
@@ -536,7 +722,7 @@
             ++polls;
             change_view view;
             view.epoch = 7;
-            apply(view, {"servers", "a", polls, false, "x"},
+            apply(view, {"servers", "a", {0, polls}, false, "x"},
                 monotonic_clock::now());
             return scripted_reply{
                 http_text(200, "", encode_delta(delta_since(view, 0, 0)))};
--- a/tests/test_rollout.cpp
+++ b/tests/test_rollout.cpp
@@ -42,7 +42,7 @@
     rollout_order
     order(rollout_state state, bool acknowledged) const
     {
-        return {"s", "v2", 20s, 7, 3, state, acknowledged};
+        return {"s", "v2", 20s, {0, 7}, 3, state, acknowledged};
     }
 
     /// Returns how often each target was chosen for `n` first sends, by id.
@@ -68,8 +68,11 @@
 {
     recorded_controller(two_versions& parts, const std::string& id)
         : controller(parts.vm.context, id, limits,
-              {[this](const rollout_order& o, rollout_state s)
-                  { states.emplace_back(o.revision, s); },
+              {[this](const rollout_order& o, rollout_state s, bool again)
+                  {
+                      states.emplace_back(o.revision.number, s);
+                      repeated = again;
+                  },
                   [this](const rollout_report& r) { reports.push_back(r); },
                   [this](bool follow) { follows = follow; },
                   [this] { return evidence_current; }})
@@ -79,6 +82,7 @@
     std::vector<std::pair<std::uint64_t, rollout_state>> states;
     std::vector<rollout_report> reports;
     bool follows = false;
+    bool repeated = false; ///< the last write
     bool evidence_current = true;
     rollout_controller controller;
 };
@@ -284,6 +288,47 @@
     CHECK(c.states.empty());
 }
 
+// Guards against a verdict that a restore of the store undoes: targets of the
+// former version may have stopped, or the version is known to be bad.
+TEST_CASE(
+    "a verdict that the restored store lacks is written again", "[entry][era]")
+{
+    const auto [verdict, share] =
+        GENERATE(std::make_pair(rollout_state::completed, 50),
+            std::make_pair(rollout_state::withdrawn, 0));
+    two_versions t;
+    recorded_controller c(t, "vm-1");
+    c.controller.set_vms({"vm-1"});
+    c.controller.put(t.order(verdict, true));
+    c.evidence_current = false;
+    CHECK(c.states.empty());
+    rollout_order copy = t.order(rollout_state::running, true);
+    copy.revision = {1, 5};
+    c.controller.put(copy);
+    CHECK(t.choices(50)["t-new"] == share);
+    c.controller.tick();
+    REQUIRE(c.states.size() == 1);
+    CHECK(c.states[0] == std::make_pair(std::uint64_t{5}, verdict));
+    CHECK(c.repeated);
+    // The store shows it again.
+    copy.revision = {1, 6};
+    copy.state = verdict;
+    c.controller.put(copy);
+    c.controller.tick();
+    CHECK(c.states.size() == 1);
+    // The copy of a second restore lacks the order itself.
+    c.controller.hold("s");
+    c.controller.tick();
+    CHECK(c.states.size() == 1);
+    CHECK(t.choices(50)["t-new"] == share);
+    // An order of another creation is a new one.
+    copy = t.order(rollout_state::running, false);
+    copy.created = 4;
+    copy.revision = {2, 4};
+    c.controller.put(copy);
+    CHECK(t.choices(100)["t-new"] == 5);
+}
+
 // Guards against all VMs writing the same verdict at once.
 TEST_CASE("VMs stagger the writes of a verdict", "[entry]")
 {
@@ -320,7 +365,7 @@
     REQUIRE(order);
     CHECK(order->version == "v2");
     CHECK(order->time_limit == 12s);
-    CHECK(order->revision == 9);
+    CHECK(order->revision == store_revision{0, 9});
     CHECK(order->created == 4);
     CHECK(!order->acknowledged);
     CHECK(
--- a/tests/test_store_entries.cpp
+++ b/tests/test_store_entries.cpp
@@ -105,11 +105,11 @@
             REQUIRE(page.has_value());
             REQUIRE(page->objects.size() == 3);
             CHECK(page->unreadable.empty());
-            CHECK(page->revision == 50);
+            CHECK(page->revision == store_revision{0, 50});
             CHECK(page->objects[0].payload.find("10.0.0.1:80") !=
                   std::string::npos);
             CHECK(page->objects[1].name == "b");
-            CHECK(page->objects[1].revision == 6);
+            CHECK(page->objects[1].revision == store_revision{0, 6});
             for (const store_change& object : page->objects)
             {
                 decode(object);
@@ -133,7 +133,7 @@
                     {object_text("b", 55, odd), object_text("a", 56, good)}));
             REQUIRE(page.has_value());
             REQUIRE(page->changes.size() == 2);
-            CHECK(page->revision == 60);
+            CHECK(page->revision == store_revision{0, 60});
             CHECK(page->changes[1].name == "a");
             decode(page->changes[0]);
         }
