Test eras between VMs and restore the soak's store

Cause: relays have to pass the era on and refuse polls meanwhile, and the soak never let the store go back. The soak was not run yet.

--- a/tests/soak/deployment.cpp
+++ b/tests/soak/deployment.cpp
@@ -142,9 +142,41 @@
     return true;
 }
 
+bool
+deployment::announce_leaving()
+{
+    if (left_at_ != monotonic_time::max())
+    {
+        return false;
+    }
+    store.save();
+    left_at_ = monotonic_clock::now();
+    announced_at_ = left_at_;
+    specs_.back()["state"] = "draining";
+    register_target(targets_.size() - 1);
+    return true;
+}
+
+void
+deployment::write_again()
+{
+    store.put("config", "main", desired_state_of(version_, state_));
+    for (std::size_t i = 0; i < targets_.size(); ++i)
+    {
+        register_target(i);
+    }
+}
+
 void
 deployment::come_back()
 {
+    if (announced_at_ != monotonic_time{})
+    {
+        // Only another process takes requests again.
+        specs_.back()["state"] = "ready";
+        specs_.back()["born"] = specs_.back()["born"].get<std::uint64_t>() + 1;
+        announced_at_ = {};
+    }
     left_at_ = monotonic_time::max();
     register_target(targets_.size() - 1);
 }
--- a/tests/soak/deployment.hpp
+++ b/tests/soak/deployment.hpp
@@ -44,6 +44,23 @@
     void
     come_back();
 
+    /// Lets a target say in its registration that it leaves, after a copy of
+    /// the store was kept. Returns false if it has left already.
+    bool
+    announce_leaving();
+
+    /// Writes the objects of the operator and of the targets again, as they do
+    /// after a restore of the store.
+    void
+    write_again();
+
+    /// Returns when the target that has left said so; zero if it did not.
+    monotonic_time
+    announced_at() const
+    {
+        return announced_at_;
+    }
+
     /// Returns when a request reached the target that has left, long after its
     /// registration was removed; zero if it did not.
     monotonic_time
@@ -67,6 +84,7 @@
     std::vector<std::unique_ptr<fixture::stand_in_target>> targets_;
     std::vector<nlohmann::json> specs_;              ///< of the targets
     monotonic_time left_at_ = monotonic_time::max(); ///< of the last target
+    monotonic_time announced_at_{};
     std::unordered_map<std::uint64_t, monotonic_time> late_arrivals_;
 };
 
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -55,6 +55,9 @@
     /// Applies a fault of the store. Returns false if it is in progress.
     bool
     apply_to_store(const planned_fault& fault);
+    /// Returns false if a target has left, whose state the copy would lack.
+    bool
+    restore_store(const planned_fault& fault);
     /// Calls `action` after `wait`.
     void
     after(duration wait, std::function<void()> action);
--- a/tests/test_store_era.cpp
+++ b/tests/test_store_era.cpp
@@ -105,6 +105,128 @@
     CHECK(!platform::read_store_era({}));
 }
 
+// Guards against a relay that passes on, after a restore, what it knew before,
+// and against a list of the older era that arrives late and passes for current.
+TEST_CASE("a relay refuses polls until it knows the newer era", "[entry][era]")
+{
+    entry_vm vm;
+    int starts = 0;
+    int restores = 0;
+    change_hub hub(vm.loop, vm.counters, vm.log, "r0", "north", {"servers"},
+        {[](const store_change&) {},
+            [&](bool follow) { starts += follow ? 1 : 0; },
+            [&] { ++restores; }});
+    const auto status_of = [&](const std::string& query)
+    {
+        int out = 0;
+        hub.serve_poll("/v1/changes?epoch=0&after=0" + query,
+            [&](http_reply&& reply) { out = reply.status; });
+        return out;
+    };
+    const auto object = [](std::uint64_t era, std::uint64_t number)
+    {
+        return std::vector<store_change>{
+            {"servers", "a", {era, number}, false, "x"}};
+    };
+    call_reply plain;
+    plain.status = 200;
+    hub.set_vms({});
+    CHECK(hub.record_store_era(plain) == era_order::current);
+    hub.record_store_result(true);
+    hub.apply_list("servers", object(0, 5), {0, 8});
+    CHECK(status_of("") == 200);
+    CHECK(starts == 1);
+    // The poll of a VM that knows of the restore already.
+    CHECK(status_of("&era=1") == 503);
+    CHECK(starts == 2);
+    CHECK(restores == 1);
+    hub.apply_list("servers", object(0, 9), {0, 9});
+    CHECK(status_of("") == 503);
+    CHECK(hub.record_store_era(plain) == era_order::older);
+    call_reply stated = plain;
+    stated.store_era = 1;
+    CHECK(hub.record_store_era(stated) == era_order::current);
+    hub.apply_list("servers", object(1, 3), {1, 4});
+    CHECK(status_of("&era=1") == 200);
+    stated.status = 503;
+    stated.store_era = 2;
+    CHECK(hub.record_store_era(stated) == era_order::newer);
+    CHECK(restores == 2);
+    CHECK(status_of("") == 503);
+}
+
+// Guards against a follower that learns of a restore only from the store, and
+// that takes a relay of the older era for current.
+TEST_CASE("relays pass the era on", "[entry][era]")
+{
+    entry_vm vm;
+    change_view view;
+    view.epoch = 7;
+    const auto list = [&](std::uint64_t era, const std::string& name)
+    {
+        replace_kind(view, "servers", {{"servers", name, {era, 5}, false, "x"}},
+            {era, 9}, monotonic_clock::now());
+    };
+    list(0, "old");
+    std::vector<std::unique_ptr<stand_in_target>> relays;
+    std::vector<registered_vm> vms;
+    std::string last_poll;
+    for (int i = 0; i < 3; ++i)
+    {
+        const std::string id = "r" + std::to_string(i);
+        relays.push_back(std::make_unique<stand_in_target>(vm.loop, id,
+            [&](const parsed_request& request)
+            {
+                last_poll = request.path;
+                scripted_reply out{
+                    http_text(200, "", encode_delta(delta_since(view, 0, 0)))};
+                out.wait = 5ms;
+                return out;
+            }));
+        vms.push_back({id, "north", relays.back()->address()});
+    }
+    std::string id;
+    for (int i = 0; id.empty(); ++i)
+    {
+        std::vector<registered_vm> all = vms;
+        all.push_back({"f" + std::to_string(i), "north", "127.0.0.1:9"});
+        if (!plan_relays(all, all.back().id, "north").is_relay)
+        {
+            id = all.back().id;
+        }
+    }
+    vms.push_back({id, "north", "127.0.0.1:9"});
+    std::set<std::string> names;
+    int restores = 0;
+    change_hub hub(vm.loop, vm.counters, vm.log, id, "north", {"servers"},
+        {[&](const store_change& c)
+            { c.deleted ? names.erase(c.name) : names.insert(c.name).second; },
+            [](bool) {}, [&] { ++restores; }});
+    hub.set_vms(vms);
+    test_caller runner(vm.loop, vm.caller_address());
+    runner.run_until([&] { return names.count("old") == 1; });
+    CHECK(last_poll.find("era=") == std::string::npos);
+    list(1, "new");
+    runner.run_until([&] { return names == std::set<std::string>{"new"}; });
+    CHECK(restores == 1);
+    runner.run_until(
+        [&] { return last_poll.find("&era=1") != std::string::npos; });
+    // All relays fall back to what they knew before.
+    view = {};
+    view.epoch = 8;
+    list(0, "old");
+    hub.refresh();
+    last_poll.clear();
+    for (int i = 0; i < 5; ++i)
+    {
+        runner.run_until([&] { return !last_poll.empty(); });
+        last_poll.clear();
+    }
+    CHECK(names == std::set<std::string>{"new"});
+    CHECK(!hub.is_confirmed());
+    CHECK(hub.store_era() == 1);
+}
+
 // Guards against a VM that follows nothing after its watches have got 410, that
 // takes objects of the new era for old because of their numbers, and that goes
 // back to an older desired state.
