--- a/tests/soak/bramleymux_soak_main.cpp
+++ b/tests/soak/bramleymux_soak_main.cpp
@@ -44,6 +44,8 @@
         ->check(CLI::ExistingFile);
     app.add_flag("--vms-stop-first", options.vms_stop_first,
         "stop all VMs at the end while callers use them");
+    app.add_flag("--restores-only", options.restores_only,
+        "no faults but restores of the store, new states, reloads and pauses");
     CLI11_PARSE(app, argc, argv);
 
     std::signal(SIGPIPE, SIG_IGN);
--- a/tests/soak/deployment.cpp
+++ b/tests/soak/deployment.cpp
@@ -151,7 +151,7 @@
     }
     store.save();
     left_at_ = monotonic_clock::now();
-    announced_at_ = left_at_;
+    announced_ = true;
     specs_.back()["state"] = "draining";
     register_target(targets_.size() - 1);
     return true;
@@ -170,22 +170,24 @@
 void
 deployment::come_back()
 {
-    if (announced_at_ != monotonic_time{})
+    if (announced_)
     {
         // Only another process takes requests again.
         specs_.back()["state"] = "ready";
         specs_.back()["born"] = specs_.back()["born"].get<std::uint64_t>() + 1;
-        announced_at_ = {};
+        announced_ = false;
     }
     left_at_ = monotonic_time::max();
     register_target(targets_.size() - 1);
 }
 
-monotonic_time
-deployment::reached_left_target_at(std::uint64_t request) const
+std::optional<deployment::late_arrival>
+deployment::reached_left_target(std::uint64_t request) const
 {
     const auto found = late_arrivals_.find(request);
-    return found == late_arrivals_.end() ? monotonic_time{} : found->second;
+    return found == late_arrivals_.end()
+               ? std::nullopt
+               : std::optional<late_arrival>(found->second);
 }
 
 fixture::scripted_reply
@@ -205,7 +207,7 @@
                       now > left_at_ + leave_bound + longest_transit;
     if (left)
     {
-        late_arrivals_.emplace(id, now);
+        late_arrivals_.emplace(id, late_arrival{now, announced_});
     }
     auto reply =
         fixture::good(request, target + "." + std::to_string(id), body_of(id));
--- a/tests/soak/deployment.hpp
+++ b/tests/soak/deployment.hpp
@@ -5,6 +5,7 @@
 #include "store.hpp"
 
 #include <memory>
+#include <optional>
 #include <random>
 #include <unordered_map>
 #include <vector>
@@ -54,17 +55,16 @@
     void
     write_again();
 
-    /// Returns when the target that has left said so; zero if it did not.
-    monotonic_time
-    announced_at() const
+    /// Arrival of a request at a target long after that has left.
+    struct late_arrival
     {
-        return announced_at_;
-    }
+        monotonic_time at{};
+        bool announced = false; ///< the target had said that it leaves
+    };
 
-    /// Returns when a request reached the target that has left, long after its
-    /// registration was removed; zero if it did not.
-    monotonic_time
-    reached_left_target_at(std::uint64_t request) const;
+    /// Returns nullopt if the request did not reach a target that has left.
+    std::optional<late_arrival>
+    reached_left_target(std::uint64_t request) const;
 
     stand_in_store store;
 
@@ -84,8 +84,8 @@
     std::vector<std::unique_ptr<fixture::stand_in_target>> targets_;
     std::vector<nlohmann::json> specs_;              ///< of the targets
     monotonic_time left_at_ = monotonic_time::max(); ///< of the last target
-    monotonic_time announced_at_{};
-    std::unordered_map<std::uint64_t, monotonic_time> late_arrivals_;
+    bool announced_ = false; ///< it has said so, and then left
+    std::unordered_map<std::uint64_t, late_arrival> late_arrivals_;
 };
 
 } // namespace bramleymux::soak
--- a/tests/soak/schedule.cpp
+++ b/tests/soak/schedule.cpp
@@ -127,7 +127,7 @@
         planned_fault f;
         f.at = at;
         f.kind = fault_kind::restore;
-        f.length = milliseconds(pick.between(1500, 3500));
+        f.length = milliseconds(pick.between(2500, 4000));
         out.push_back(f);
     }
     return out;
@@ -166,6 +166,20 @@
     return out;
 }
 
+void
+keep_restores_only(std::vector<planned_fault>& schedule)
+{
+    const auto is_kept = [](const planned_fault& f)
+    {
+        return f.kind == fault_kind::restore ||
+               f.kind == fault_kind::new_state ||
+               f.kind == fault_kind::hang_up || f.kind == fault_kind::pause;
+    };
+    schedule.erase(std::remove_if(schedule.begin(), schedule.end(),
+                       [&](const planned_fault& f) { return !is_kept(f); }),
+        schedule.end());
+}
+
 std::string
 describe(const state_choice& state)
 {
--- a/tests/soak/schedule.hpp
+++ b/tests/soak/schedule.hpp
@@ -52,6 +52,10 @@
 std::vector<planned_fault>
 make_schedule(std::uint64_t seed, duration length, std::size_t vms);
 
+/// Leaves out the faults after which a VM may not know what the store had.
+void
+keep_restores_only(std::vector<planned_fault>& schedule);
+
 std::string
 describe(const state_choice& state);
 
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -32,6 +32,10 @@
 // the targets write their objects again later than that.
 constexpr auto store_outage = 300ms;
 constexpr auto owners_delay = 2s;
+// The call that a cut leaves without a reply ends this late.
+constexpr auto cut_effect = 6s;
+// Stops in all within which a VM still hears of a change before the restore.
+constexpr auto short_stops = 800ms;
 // Time in which a target that said that it leaves may get no requests.
 constexpr auto departure_time = 5s;
 // A process that is younger may not have installed its signal handlers.
@@ -63,6 +67,10 @@
       start_(monotonic_clock::now() + warm_up),
       last_tick_(monotonic_clock::now())
 {
+    if (options.restores_only)
+    {
+        keep_restores_only(schedule_);
+    }
     std::vector<std::string> readiness;
     for (const vm_place& place : places_in(lock_address_block()))
     {
@@ -245,10 +253,13 @@
         return false;
     }
     journal_.note("", "a copy of the store is kept; a target will leave");
+    copied_at_ = monotonic_clock::now();
+    knew_departure_at_.assign(vms_.size(), monotonic_time{});
     const duration restored = fault.length;
     after(restored,
         [this]
         {
+            note_departure_known(monotonic_clock::now());
             journal_.note("", "the store goes back to the copy");
             deployment_.store.set_refusing(true);
             deployment_.store.restore();
@@ -262,6 +273,36 @@
     return true;
 }
 
+/// Returns whether the VM may not have followed the store since the copy was
+/// kept: it was cut off, frozen or too young.
+bool
+soak_run::may_have_missed_copy(std::size_t vm, monotonic_time now) const
+{
+    const duration cut =
+        covered_time(cuts_[vm], {copied_at_ - cut_effect, now});
+    return cut > duration::zero() ||
+           covered_time(vms_[vm]->stops(), {copied_at_, now}) > short_stops ||
+           vms_[vm]->started_at() + stable_window > copied_at_;
+}
+
+/// Notes which VMs knew when the store went back that the target leaves. A VM
+/// hears it through a relay of either zone, so one VM may have missed it.
+void
+soak_run::note_departure_known(monotonic_time now)
+{
+    std::size_t missed = 0;
+    for (std::size_t i = 0; i < vms_.size(); ++i)
+    {
+        const bool may_have_missed = may_have_missed_copy(i, now);
+        missed += may_have_missed ? 1 : 0;
+        knew_departure_at_[i] = may_have_missed ? monotonic_time{} : now;
+    }
+    if (missed > 1)
+    {
+        knew_departure_at_.assign(vms_.size(), monotonic_time{});
+    }
+}
+
 bool
 soak_run::is_in_touch(std::size_t vm, monotonic_time at) const
 {
@@ -425,14 +466,12 @@
     const interval span{a.sent_at, a.ended_at};
     std::vector<interval> stalls = vms_[a.vm]->stops();
     stalls.insert(stalls.end(), lags_.begin(), lags_.end());
-    const monotonic_time late = deployment_.reached_left_target_at(a.id);
-    // A VM that started later may have seen the restored copy only.
-    const bool knew =
-        deployment_.announced_at() == monotonic_time{} ||
-        vms_[a.vm]->started_at() + stable_window < deployment_.announced_at();
+    const auto late = deployment_.reached_left_target(a.id);
+    const bool knew = late && (late->announced ? vms_[a.vm]->started_at() <
+                                                     knew_departure_at_[a.vm]
+                                               : is_in_touch(a.vm, late->at));
     return {deployment_.runs(a.id), vms_[a.vm]->was_killed_within(span),
-        covered_time(std::move(stalls), span),
-        late != monotonic_time{} && knew && is_in_touch(a.vm, late)};
+        covered_time(std::move(stalls), span), knew};
 }
 
 } // namespace bramleymux::soak
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -21,6 +21,9 @@
     std::size_t callers = 60;
     /// At the end, stop all VMs at once while the callers still use them.
     bool vms_stop_first = false;
+    /// Only restores of the store, new states, reloads and short pauses. The
+    /// other faults leave few VMs of which it is certain that they knew.
+    bool restores_only = false;
     std::string program;   ///< the entry program
     std::string directory; ///< for settings and logs of the VMs
 };
@@ -58,6 +61,10 @@
     /// Returns false if a target has left, whose state the copy would lack.
     bool
     restore_store(const planned_fault& fault);
+    bool
+    may_have_missed_copy(std::size_t vm, monotonic_time now) const;
+    void
+    note_departure_known(monotonic_time now);
     /// Calls `action` after `wait`.
     void
     after(duration wait, std::function<void()> action);
@@ -97,6 +104,10 @@
     std::size_t next_fault_ = 0;
     monotonic_time start_;
     monotonic_time last_tick_;
+    monotonic_time copied_at_{}; ///< copy of the store for a restore
+    /// For each VM, when its process of that time knew that the target leaves;
+    /// zero if it may not have known before the store went back.
+    std::vector<monotonic_time> knew_departure_at_;
     std::vector<interval> lags_; ///< in which this process did not run
     std::deque<attempt> unjudged_;
     std::uint64_t last_id_ = 0;
