--- a/src/keys/freshness_message.cpp
+++ b/src/keys/freshness_message.cpp
@@ -54,7 +54,7 @@
 {
     const auto age =
         std::chrono::ceil<std::chrono::microseconds>(answer.age).count();
-    json out{{"era", answer.era}, {"revision", answer.revision},
+    json out{{"era", answer.revision.era}, {"revision", answer.revision.number},
         {"version", answer.version},
         {"age_us", static_cast<std::uint64_t>(std::max<std::int64_t>(age, 0))}};
     const bool fits = answer.payload && answer.payload->size() + field_bytes <=
@@ -81,8 +81,8 @@
         constexpr std::uint64_t max_age_us =
             std::chrono::microseconds(config::max_stated_age).count();
         freshness_answer out;
-        out.era = read_uint(value, "era");
-        out.revision = read_uint(value, "revision");
+        out.revision.era = read_uint(value, "era");
+        out.revision.number = read_uint(value, "revision");
         out.version = read_uint(value, "version");
         const std::uint64_t age_us = read_uint(value, "age_us");
         if (age_us > max_age_us)
--- a/src/keys/freshness_message.hpp
+++ b/src/keys/freshness_message.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "store_revision.hpp"
+
 #include <bramleymux/types.hpp>
 
 #include <cstdint>
@@ -15,10 +17,9 @@
 
 struct freshness_answer
 {
-    std::uint64_t era = 0;      ///< of the store; 0 for now
-    std::uint64_t revision = 0; ///< of the object of the desired state
-    std::uint64_t version = 0;  ///< of the desired state in force
-    duration age{};             ///< of the answering VM's proof
+    store_revision revision;   ///< of the object of the desired state
+    std::uint64_t version = 0; ///< of the desired state in force
+    duration age{};            ///< of the answering VM's proof
     /// Payload of the desired state, with digests in place of keys, if the
     /// question named a lower version.
     std::optional<std::string> payload;
--- a/src/keys/proof_exchange.hpp
+++ b/src/keys/proof_exchange.hpp
@@ -20,8 +20,8 @@
 struct state_in_force
 {
     bool has_workspaces = false;
-    std::uint64_t version = 0;  ///< 0 without a state
-    std::uint64_t revision = 0; ///< of its object in the store
+    std::uint64_t version = 0; ///< 0 without a state
+    store_revision revision;   ///< of its object in the store
     /// Payload of the object; null if this VM no longer holds it.
     const std::string* payload = nullptr;
 };
--- a/tests/soak/deployment.cpp
+++ b/tests/soak/deployment.cpp
@@ -182,18 +182,53 @@
     return true;
 }
 
+bool
+deployment::announce_leaving()
+{
+    if (left_at_ != monotonic_time::max())
+    {
+        return false;
+    }
+    store.save();
+    left_at_ = monotonic_clock::now();
+    announced_ = true;
+    specs_.back()["state"] = "draining";
+    register_target(targets_.size() - 1);
+    return true;
+}
+
+void
+deployment::write_again()
+{
+    store.put("config", "main",
+        desired_state_of(version_, state_, revocations_.size() + 1));
+    for (std::size_t i = 0; i < targets_.size(); ++i)
+    {
+        register_target(i);
+    }
+}
+
 void
 deployment::come_back()
 {
+    if (announced_)
+    {
+        // Only another process takes requests again.
+        specs_.back()["state"] = "ready";
+        specs_.back()["born"] = specs_.back()["born"].get<std::uint64_t>() + 1;
+        announced_ = false;
+    }
     left_at_ = monotonic_time::max();
     register_target(targets_.size() - 1);
 }
 
-monotonic_time
-deployment::reached_left_target_at(std::uint64_t request) const
+std::optional<deployment::late_arrival>
+deployment::reached_left_target(std::uint64_t request) const
 {
     const auto found = late_arrivals_.find(request);
-    return found == late_arrivals_.end() ? monotonic_time{} : found->second;
+    return found == late_arrivals_.end()
+               ? std::nullopt
+               : std::optional<late_arrival>(found->second);
 }
 
 fixture::scripted_reply
@@ -213,7 +248,7 @@
                       now > left_at_ + leave_bound + longest_transit;
     if (left)
     {
-        late_arrivals_.emplace(id, now);
+        late_arrivals_.emplace(id, late_arrival{now, announced_});
     }
     auto reply =
         fixture::good(request, target + "." + std::to_string(id), body_of(id));
--- a/tests/soak/deployment.hpp
+++ b/tests/soak/deployment.hpp
@@ -5,6 +5,7 @@
 #include "store.hpp"
 
 #include <memory>
+#include <optional>
 #include <random>
 #include <unordered_map>
 #include <vector>
@@ -54,10 +55,26 @@
     void
     come_back();
 
-    /// Returns when a request reached the target that has left, long after its
-    /// registration was removed; zero if it did not.
-    monotonic_time
-    reached_left_target_at(std::uint64_t request) const;
+    /// Lets a target say in its registration that it leaves, after a copy of
+    /// the store was kept. Returns false if it has left already.
+    bool
+    announce_leaving();
+
+    /// Writes the objects of the operator and of the targets again, as they do
+    /// after a restore of the store.
+    void
+    write_again();
+
+    /// Arrival of a request at a target long after that has left.
+    struct late_arrival
+    {
+        monotonic_time at{};
+        bool announced = false; ///< the target had said that it leaves
+    };
+
+    /// Returns nullopt if the request did not reach a target that has left.
+    std::optional<late_arrival>
+    reached_left_target(std::uint64_t request) const;
 
     stand_in_store store;
 
@@ -79,7 +96,8 @@
     std::vector<std::unique_ptr<fixture::stand_in_target>> targets_;
     std::vector<nlohmann::json> specs_;              ///< of the targets
     monotonic_time left_at_ = monotonic_time::max(); ///< of the last target
-    std::unordered_map<std::uint64_t, monotonic_time> late_arrivals_;
+    bool announced_ = false; ///< it has said so, and then left
+    std::unordered_map<std::uint64_t, late_arrival> late_arrivals_;
 };
 
 } // namespace bramleymux::soak
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -28,6 +28,16 @@
 constexpr auto settle_time = 1500ms;
 // A VM that was stopped or cut off within this time may still be behind.
 constexpr auto stable_window = 4s;
+// After a restore, the store refuses calls for a moment, and the operator and
+// the targets write their objects again later than that.
+constexpr auto store_outage = 300ms;
+constexpr auto owners_delay = 2s;
+// The call that a cut leaves without a reply ends this late.
+constexpr auto cut_effect = 6s;
+// Stops in all within which a VM still hears of a change before the restore.
+constexpr auto short_stops = 800ms;
+// Time in which a target that said that it leaves may get no requests.
+constexpr auto departure_time = 5s;
 // A process that is younger may not have installed its signal handlers.
 constexpr auto signal_age = 2500ms;
 
@@ -57,6 +67,10 @@
       start_(monotonic_clock::now() + warm_up),
       last_tick_(monotonic_clock::now())
 {
+    if (options.restores_only)
+    {
+        keep_restores_only(schedule_);
+    }
     std::vector<std::string> readiness;
     for (const vm_place& place : places_in(lock_address_block()))
     {
@@ -163,7 +177,8 @@
 {
     const bool of_store = fault.kind == fault_kind::odd_entry ||
                           fault.kind == fault_kind::leave ||
-                          fault.kind == fault_kind::cut_store;
+                          fault.kind == fault_kind::cut_store ||
+                          fault.kind == fault_kind::restore;
     if (of_store)
     {
         report_.count_fault(fault.kind, apply_to_store(fault));
@@ -214,6 +229,10 @@
         after(fault.length, [this] { deployment_.come_back(); });
         return true;
     }
+    if (fault.kind == fault_kind::restore)
+    {
+        return restore_store(fault);
+    }
     auto& cuts = cuts_[fault.vm];
     const monotonic_time now = monotonic_clock::now();
     if (!cuts.empty() && cuts.back().to > now)
@@ -228,6 +247,64 @@
     return true;
 }
 
+bool
+soak_run::restore_store(const planned_fault& fault)
+{
+    if (!deployment_.announce_leaving())
+    {
+        return false;
+    }
+    journal_.note("", "a copy of the store is kept; a target will leave");
+    copied_at_ = monotonic_clock::now();
+    knew_departure_at_.assign(vms_.size(), monotonic_time{});
+    const duration restored = fault.length;
+    after(restored,
+        [this]
+        {
+            note_departure_known(monotonic_clock::now());
+            journal_.note("", "the store goes back to the copy");
+            deployment_.store.set_refusing(true);
+            deployment_.store.restore();
+        });
+    after(restored + store_outage,
+        [this] { deployment_.store.set_refusing(false); });
+    after(restored + store_outage + owners_delay,
+        [this] { deployment_.write_again(); });
+    after(restored + store_outage + owners_delay + departure_time,
+        [this] { deployment_.come_back(); });
+    return true;
+}
+
+/// Returns whether the VM may not have followed the store since the copy was
+/// kept: it was cut off, frozen or too young.
+bool
+soak_run::may_have_missed_copy(std::size_t vm, monotonic_time now) const
+{
+    const duration cut =
+        covered_time(cuts_[vm], {copied_at_ - cut_effect, now});
+    return cut > duration::zero() ||
+           covered_time(vms_[vm]->stops(), {copied_at_, now}) > short_stops ||
+           vms_[vm]->started_at() + stable_window > copied_at_;
+}
+
+/// Notes which VMs knew when the store went back that the target leaves. A VM
+/// hears it through a relay of either zone, so one VM may have missed it.
+void
+soak_run::note_departure_known(monotonic_time now)
+{
+    std::size_t missed = 0;
+    for (std::size_t i = 0; i < vms_.size(); ++i)
+    {
+        const bool may_have_missed = may_have_missed_copy(i, now);
+        missed += may_have_missed ? 1 : 0;
+        knew_departure_at_[i] = may_have_missed ? monotonic_time{} : now;
+    }
+    if (missed > 1)
+    {
+        knew_departure_at_.assign(vms_.size(), monotonic_time{});
+    }
+}
+
 bool
 soak_run::is_in_touch(std::size_t vm, monotonic_time at) const
 {
@@ -391,10 +468,12 @@
     const interval span{a.sent_at, a.ended_at};
     std::vector<interval> stalls = vms_[a.vm]->stops();
     stalls.insert(stalls.end(), lags_.begin(), lags_.end());
-    const monotonic_time late = deployment_.reached_left_target_at(a.id);
+    const auto late = deployment_.reached_left_target(a.id);
+    const bool knew = late && (late->announced ? vms_[a.vm]->started_at() <
+                                                     knew_departure_at_[a.vm]
+                                               : is_in_touch(a.vm, late->at));
     return {deployment_.runs(a.id), vms_[a.vm]->was_killed_within(span),
-        covered_time(std::move(stalls), span),
-        late != monotonic_time{} && is_in_touch(a.vm, late),
+        covered_time(std::move(stalls), span), knew,
         deployment_.revoked_at(a.key)};
 }
 
--- a/tests/test_revocation.cpp
+++ b/tests/test_revocation.cpp
@@ -31,7 +31,7 @@
         : server(parts.context, {200ms, 400ms}),
           proofs(parts.loop, parts.counters, parts.log,
               {[this, version] {
-                   return state_in_force{true, version, 1000, &payload};
+                   return state_in_force{true, version, {0, 1000}, &payload};
                },
                   [](const freshness_answer&) {}})
     {
--- a/tests/test_state_proof.cpp
+++ b/tests/test_state_proof.cpp
@@ -302,15 +302,14 @@
 {
     const std::string payload = R"({"version":9})";
     const auto decoded =
-        decode_freshness(encode_freshness({2, 70, 9, 1500us + 1ns, payload}));
+        decode_freshness(encode_freshness({{2, 70}, 9, 1500us + 1ns, payload}));
     REQUIRE(decoded);
-    CHECK(decoded->era == 2);
-    CHECK(decoded->revision == 70);
+    CHECK(decoded->revision == store_revision{2, 70});
     CHECK(decoded->version == 9);
     CHECK(decoded->age == 1501us);
     CHECK(decoded->payload == payload);
     const std::string large(config::max_freshness_bytes, 'x');
-    const std::string without = encode_freshness({0, 1, 1, 1s, large});
+    const std::string without = encode_freshness({{0, 1}, 1, 1s, large});
     CHECK(without.size() < 256);
     CHECK(!decode_freshness(without)->payload);
     CHECK(!decode_freshness(without + large));
--- a/tests/test_store_entries.cpp
+++ b/tests/test_store_entries.cpp
@@ -105,11 +105,11 @@
             REQUIRE(page.has_value());
             REQUIRE(page->objects.size() == 3);
             CHECK(page->unreadable.empty());
-            CHECK(page->revision == 50);
+            CHECK(page->revision == store_revision{0, 50});
             CHECK(page->objects[0].payload.find("10.0.0.1:80") !=
                   std::string::npos);
             CHECK(page->objects[1].name == "b");
-            CHECK(page->objects[1].revision == 6);
+            CHECK(page->objects[1].revision == store_revision{0, 6});
             for (const store_change& object : page->objects)
             {
                 decode(object);
@@ -133,7 +133,7 @@
                     {object_text("b", 55, odd), object_text("a", 56, good)}));
             REQUIRE(page.has_value());
             REQUIRE(page->changes.size() == 2);
-            CHECK(page->revision == 60);
+            CHECK(page->revision == store_revision{0, 60});
             CHECK(page->changes[1].name == "a");
             decode(page->changes[0]);
         }
@@ -173,7 +173,7 @@
         INFO(odd.substr(0, 100));
         change_delta delta;
         delta.full = true;
-        delta.changes = {{"servers", "b", 6, false, odd}};
+        delta.changes = {{"servers", "b", {0, 6}, false, odd}};
         const auto back = decode_delta(encode_delta(delta));
         REQUIRE(back.has_value());
         decode(back->changes.at(0));
@@ -204,7 +204,7 @@
     const auto decoded = [](const std::string& name, const std::string& spec)
     {
         return platform::decode_rollout(
-            {"rollouts", name, 1, false, R"({"spec":)" + spec + "}"});
+            {"rollouts", name, {0, 1}, false, R"({"spec":)" + spec + "}"});
     };
     CHECK(
         decoded("s", R"({"service":"s","targetVersion":"v2","durationS":12})"));
