Test that a delegate's shards count at the entry VM

Cause: the count of requests whose shards a delegate sends had no test. Change: a test with both rules over an order to a VM of another zone.

--- a/tests/test_gather_orders.cpp
+++ b/tests/test_gather_orders.cpp
@@ -530,3 +530,48 @@
             return !limit();
         });
 }
+
+// Guards against a request whose shards a delegate sends that counts for no
+// workspace, for several requests, or at the delegate.
+TEST_CASE("shards sent by a delegate count at the entry VM", "[usage]")
+{
+    for (const usage_rule rule :
+        {usage_rule::each_request, usage_rule::each_run})
+    {
+        three_zones z;
+        z.vm.delegates.set_vms({z.delegate.registration()});
+        usage_meter meter(1h, rule);
+        usage_meter at_delegate(1h, rule);
+        z.vm.context.usage = &meter;
+        z.delegate.context.usage = &at_delegate;
+        desired_state state;
+        state.version = 2;
+        state.routes = {
+            entry_vm::make_route("q", {"s0", "s1", "s2"}, true, true)};
+        state.workspaces.emplace();
+        state.workspaces->workspaces = {{"kami770", std::nullopt}};
+        state.workspaces->entries = {{digest_of("key-a"), 0}};
+        z.vm.server.adopt(
+            std::make_shared<const desired_state>(std::move(state)));
+        test_caller caller(z.vm.loop, z.vm.caller_address());
+        caller.send(
+            get("/q/1", "r1", "X-Deadline-Ms: 4000\r\nApi-Key: key-a\r\n"));
+        CHECK(caller.reply().status == 200);
+        CHECK(count(z.vm, counter::gather_orders_sent) >= 1);
+        std::uint64_t counted = 0;
+        for (const auto& [id, window] : meter.counts().windows)
+        {
+            for (const auto& [name, n] : window.counts)
+            {
+                CHECK(name == "kami770");
+                counted += n;
+            }
+        }
+        // A slow machine may hedge shards, which adds runs but no requests.
+        CHECK((rule == usage_rule::each_request ? counted == 1 : counted >= 3));
+        for (const auto& [id, window] : at_delegate.counts().windows)
+        {
+            CHECK(window.counts.empty());
+        }
+    }
+}
