--- a/tests/test_gather_orders.cpp
+++ b/tests/test_gather_orders.cpp
@@ -530,3 +530,26 @@
             return !limit();
         });
 }
+
+// Guards against a delegate that waits out a faulty reply of its target instead
+// of handing the shard back at once.
+TEST_CASE("a faulty reply to a delegate is handed back", "[entry][faulty]")
+{
+    three_zones f;
+    // Neither the hedge nor the delegate's own time comes before the test's
+    // limit.
+    f.set_target_latency(1h);
+    for (const auto& target : f.south.targets)
+    {
+        target->set_script(
+            [](const parsed_request&)
+            {
+                return scripted_reply{
+                    "HTTP/1.1 000 X\r\nX-Response-Stamp: p\r\n"
+                    "Content-Length: 4\r\n\r\nbody"};
+            });
+    }
+    const http_reply reply = f.ask();
+    CHECK(reply.status == 200);
+    CHECK(proofs_of(reply) == std::set<std::string>{"west0", "west1", "west2"});
+}
