Bound what callers hold, and reject faulty replies

Cause: an occasional byte renewed the write timeout, nothing bounded the bytes or the number of all connections together, pipelined input was read ahead up to the longest body, and idle connections kept their largest buffers. A reply with status 000 was taken for an interim one and waited out; 600 was passed on. Change: src/memory/ with one account of bytes, the choice of the connections to close, the least read rate and the limits derived from the machine; settings [memory], events 1751 to 1753. Replies of targets are read one at a time beyond half of the account. A reply whose status is none of a final one is a failure of its target (event 1754) as soon as its header is read. The other tests, and the one through a delegate, were not run yet.

--- a/src/caller_connection.cpp
+++ b/src/caller_connection.cpp
@@ -5,6 +5,9 @@
 
 #include <boost/asio/buffer.hpp>
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+
 #include <algorithm>
 #include <array>
 
@@ -15,13 +18,47 @@
 using asio::ip::tcp;
 using boost::system::error_code;
 
+namespace
+{
+
+/// Frees the buffer of the string as well, which `clear` keeps.
+void
+release(std::string& text)
+{
+    std::string().swap(text);
+}
+
+std::size_t
+bytes_of(const parsed_request& request)
+{
+    std::size_t out = request.path.size() + request.body.size();
+    for (const header_field& field : request.fields)
+    {
+        out += field.name.size() + field.value.size();
+    }
+    return out;
+}
+
+} // namespace
+
 caller_connection::caller_connection(tcp::socket&& socket,
-    const caller_limits& limits, connection_handlers handlers)
-    : socket_(std::move(socket)), limits_(limits), next_limits_(limits),
-      idle_timeout_(limits.idle_timeout), handlers_(std::move(handlers)),
-      phase_started_at_(monotonic_clock::now())
+    const caller_limits& limits, connection_handlers handlers,
+    connection_resources resources)
+    : socket_(std::move(socket)), resources_(std::move(resources)),
+      charge_(resources_.memory, &memory_account::held), limits_(limits),
+      next_limits_(limits), idle_timeout_(limits.idle_timeout),
+      handlers_(std::move(handlers)), phase_started_at_(monotonic_clock::now())
 {
     set_stream_options(socket_);
+    error_code error;
+    const auto caller = socket_.remote_endpoint(error);
+    address_ = error ? std::string() : caller.address().to_string();
+    if (resources_.memory && resources_.memory->limit > 0)
+    {
+        socket_.set_option(asio::socket_base::send_buffer_size(
+                               config::caller_send_buffer_bytes),
+            error);
+    }
 }
 
 void
@@ -60,7 +97,7 @@
 caller_connection::wait_readable()
 {
     if (read_wait_pending_ || input_ended_ || phase_ == phase::closed ||
-        input_.size() > config::max_pipelined_bytes + limits_.max_body_bytes)
+        input_.size() > config::max_pipelined_bytes)
     {
         return;
     }
@@ -101,11 +138,13 @@
     else
     {
         input_.append(buffer.data(), n);
+        received_ += n;
     }
     if (phase_ == phase::reading)
     {
         parse();
     }
+    update_charge();
 }
 
 bool
@@ -125,7 +164,9 @@
     {
         limits_ = next_limits_;
         phase_started_at_ = monotonic_clock::now();
+        received_ = input_.size();
     }
+    used_ = true;
     const read_result result = reader_.read(
         input_, {limits_.max_header_bytes, limits_.max_body_bytes});
     switch (result)
@@ -150,7 +191,9 @@
                                  : close_cause::caller_asked;
         bodiless_ = request.method == "HEAD";
         continue_sent_ = false;
+        request_bytes_ = bytes_of(request);
         enter(phase::handling);
+        update_charge();
         handlers_.on_request(std::move(request), shared_from_this());
         return;
     }
@@ -196,9 +239,19 @@
     reply.keep_alive = keep_alive_;
     announce_idle_timeout(reply);
     output_ = serialize(reply, bodiless_);
+    release(reply.body);
     written_ = 0;
+    request_bytes_ = 0;
     enter(phase::writing);
+    update_charge();
     write();
+    if (phase_ == phase::writing)
+    {
+        const std::size_t waiting = in_transit();
+        read_progress_ =
+            begin_span(phase_started_at_, written_before_ + written_ - waiting,
+                output_.size() - written_ + waiting);
+    }
 }
 
 /// The field has whole seconds; a shorter timeout is not announced.
@@ -226,11 +279,7 @@
         close(close_cause::caller_closed);
         return;
     }
-    if (n > 0)
-    {
-        written_ += n;
-        phase_started_at_ = monotonic_clock::now();
-    }
+    written_ += n;
     if (written_ == output_.size())
     {
         on_written();
@@ -249,8 +298,14 @@
 void
 caller_connection::on_written()
 {
-    output_.clear();
+    release(output_);
+    written_before_ += written_;
     written_ = 0;
+    if (input_.empty() && input_.capacity() > config::socket_read_buffer_bytes)
+    {
+        release(input_);
+    }
+    update_charge();
     if (input_ended_)
     {
         close(close_cause::caller_closed);
@@ -273,6 +328,7 @@
                 if (self->phase_ == phase::reading)
                 {
                     self->parse();
+                    self->update_charge();
                 }
             });
     }
@@ -289,8 +345,9 @@
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
     end_.cause = cause;
     end_.dropped_bytes += input_.size();
-    input_.clear();
+    release(input_);
     enter(phase::draining);
+    update_charge();
     wait_readable();
 }
 
@@ -342,12 +399,113 @@
     {
         close(end_.cause);
     }
-    else if (phase_ == phase::writing && age > config::write_stall_timeout)
+    else if (phase_ == phase::writing && is_reading_too_slowly(now))
     {
         close(close_cause::write_timeout);
     }
 }
 
+std::size_t
+caller_connection::in_transit() const
+{
+    int bytes = 0;
+    const bool known =
+        ::ioctl(const_cast<tcp::socket&>(socket_).native_handle(), SIOCOUTQ,
+            &bytes) == 0 &&
+        bytes > 0;
+    return known ? std::min(static_cast<std::size_t>(bytes),
+                       written_before_ + written_)
+                 : 0;
+}
+
+bool
+caller_connection::is_reading_too_slowly(monotonic_time now)
+{
+    const std::size_t waiting = in_transit();
+    return reads_too_slowly(read_progress_, resources_.read_rate, now,
+        written_before_ + written_ - waiting, waiting,
+        output_.size() - written_ + waiting);
+}
+
+void
+caller_connection::update_charge()
+{
+    charge_.set(phase_ == phase::closed
+                    ? 0
+                    : input_.size() + output_.size() + request_bytes_ +
+                          reader_.held_bytes());
+    if (resources_.memory && resources_.on_full &&
+        excess_bytes(*resources_.memory) > 0)
+    {
+        resources_.on_full();
+    }
+}
+
+memory_holder
+caller_connection::usage(monotonic_time now) const
+{
+    memory_holder out;
+    out.address = address_;
+    out.held = charge_.bytes();
+    out.age = now - phase_started_at_;
+    out.stage = holder_stage::busy;
+    if (phase_ == phase::writing)
+    {
+        const std::size_t waiting = in_transit();
+        out.stage = holder_stage::answering;
+        out.moved = written_ > waiting ? written_ - waiting : 0;
+    }
+    else if (is_receiving())
+    {
+        out.stage =
+            reader_.header_done() ? holder_stage::body : holder_stage::header;
+        out.moved = received_;
+    }
+    else if (is_idle())
+    {
+        out.stage = used_ ? holder_stage::idle : holder_stage::unused;
+    }
+    return out;
+}
+
+void
+caller_connection::evict()
+{
+    if (phase_ == phase::writing)
+    {
+        close(close_cause::evicted);
+        return;
+    }
+    if (is_idle())
+    {
+        receive();
+    }
+    if (is_idle())
+    {
+        close(close_cause::evicted);
+    }
+    else if (is_receiving())
+    {
+        end_.dropped_bytes += input_.size();
+        release(input_);
+        reader_.reset();
+        refuse(input_fault::no_memory);
+    }
+}
+
+void
+caller_connection::free_descriptor()
+{
+    if (is_idle())
+    {
+        receive();
+    }
+    if (is_idle() || is_receiving())
+    {
+        close(close_cause::evicted);
+    }
+}
+
 void
 caller_connection::report_end()
 {
@@ -372,6 +530,9 @@
     enter(phase::closed);
     error_code ignored;
     socket_.close(ignored);
+    release(output_);
+    release(input_);
+    update_charge();
     const std::function<void()> on_disconnect = std::move(on_disconnect_);
     on_disconnect_ = nullptr;
     if (on_disconnect)
--- a/src/caller_connection.hpp
+++ b/src/caller_connection.hpp
@@ -2,6 +2,9 @@
 
 #include "fleet_view.hpp"
 #include "http_codec.hpp"
+#include "memory/eviction.hpp"
+#include "memory/memory_account.hpp"
+#include "memory/read_rate.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
 
@@ -27,6 +30,7 @@
     header_too_long,
     body_too_long,
     too_slow,
+    no_memory, ///< given up to free memory
     count
 };
 
@@ -41,14 +45,15 @@
     input_refused,    ///< after the reply to an input fault
     keep_alive_ended, ///< by this VM, after a reply
     idle_timeout,
-    stopping, ///< idle during a graceful stop
-    write_timeout,
+    stopping,      ///< idle during a graceful stop
+    write_timeout, ///< the caller read its answer too slowly
+    evicted,       ///< to free memory, or a descriptor for a new connection
     count
 };
 
 inline constexpr name_table<close_cause> close_cause_names{"caller_closed",
     "caller_asked", "input_refused", "keep_alive_ended", "idle_timeout",
-    "stopping", "write_timeout"};
+    "stopping", "write_timeout", "evicted"};
 
 /// What a connection left undone when it ended.
 struct connection_end
@@ -61,6 +66,14 @@
     duration idle_timeout{};      ///< that was in force for the connection
 };
 
+/// What a connection shares with the others of its process.
+struct connection_resources
+{
+    std::shared_ptr<memory_account> memory; ///< null = not accounted
+    read_rate_limit read_rate;
+    std::function<void()> on_full; ///< called while `memory` exceeds its limit
+};
+
 using end_handler = std::function<void(const connection_end&)>;
 
 struct connection_handlers
@@ -76,11 +89,27 @@
 {
 public:
     caller_connection(boost::asio::ip::tcp::socket&& socket,
-        const caller_limits& limits, connection_handlers handlers);
+        const caller_limits& limits, connection_handlers handlers,
+        connection_resources resources = {});
 
     void
     start();
 
+    /// Returns what it holds, and what the decision whom to close needs.
+    memory_holder
+    usage(monotonic_time now) const;
+
+    /// Frees what it holds: refuses a request that is being received, cuts an
+    /// answer off, and closes an idle connection unless a request has arrived
+    /// meanwhile. Does nothing while a request is in progress.
+    void
+    evict();
+
+    /// Closes the connection if it is idle, unless a request has arrived
+    /// meanwhile, or if it receives a request.
+    void
+    free_descriptor();
+
     /// Sets the limits of further requests; one that is being received keeps
     /// its own. The idle period in progress keeps its timeout if that is
     /// longer, since the caller may rely on it.
@@ -111,7 +140,8 @@
     void
     disable_keep_alive();
 
-    /// Applies the header, idle, write and drain timeouts; called periodically.
+    /// Applies the header, idle and drain timeouts and the least rate at which
+    /// an answer is read; called periodically.
     void
     tick(monotonic_time now);
 
@@ -149,6 +179,14 @@
     is_idle() const;
     void
     announce_idle_timeout(http_reply& reply) const;
+    /// Returns the sent bytes that the caller's system has not acknowledged.
+    std::size_t
+    in_transit() const;
+    bool
+    is_reading_too_slowly(monotonic_time now);
+    /// Enters what the connection holds in the account.
+    void
+    update_charge();
     void
     write();
     void
@@ -167,6 +205,9 @@
     report_end();
 
     boost::asio::ip::tcp::socket socket_;
+    connection_resources resources_;
+    memory_charge charge_;
+    std::string address_;       ///< of the caller, without its port
     caller_limits limits_;      ///< of the request being received, or the next
     caller_limits next_limits_; ///< replace `limits_` at the next request
     duration idle_timeout_;     ///< of the idle period in progress, or the next
@@ -176,9 +217,13 @@
     std::string input_;
     std::string output_;
     std::size_t written_ = 0;
+    std::size_t written_before_ = 0; ///< by earlier replies
+    std::size_t received_ = 0;       ///< of the request being received
+    std::size_t request_bytes_ = 0;  ///< of the request in progress
+    read_progress read_progress_;
+    bool used_ = false; ///< a request has arrived
     phase phase_ = phase::reading;
-    /// Reset also when the first bytes of a request arrive, and when bytes of a
-    /// reply are sent.
+    /// Reset also when the first bytes of a request arrive.
     monotonic_time phase_started_at_{};
     connection_end end_;
     bool read_wait_pending_ = false;
--- a/src/entry_query.hpp
+++ b/src/entry_query.hpp
@@ -186,6 +186,8 @@
         send_reason reason);
     void
     abandon_sends();
+    void
+    release_bodies();
     /// Returns the time until the caller's deadline.
     duration
     time_left(monotonic_time now) const;
--- a/src/entry_query_answer.cpp
+++ b/src/entry_query_answer.cpp
@@ -100,11 +100,24 @@
         context_.counters.add(counter::requests_late);
     }
     log_outcome(what, reply.status, reason);
+    release_bodies();
     const answer_handler answer = std::move(answer_);
     answer_ = nullptr;
     answer(std::move(reply));
 }
 
+/// Pending sends may keep the query for a while, but no longer need these.
+void
+entry_query::release_bodies()
+{
+    std::string().swap(message_.body);
+    for (shard_query& shard : shards_)
+    {
+        shard.reply = {};
+    }
+    merged_records_ = {};
+}
+
 /// Ends work whose result is no longer needed. A send of a non-idempotent
 /// request gets `give_up_after_` from now to finish before its connection is
 /// closed, since closing it would not show whether the request ran.
@@ -164,6 +177,7 @@
     abandon_sends();
     context_.counters.add(counter::requests_gave_up);
     log_outcome(event::caller_left, 0, "caller closed the connection");
+    release_bodies();
     answer_ = nullptr;
 }
 
--- a/src/entry_server.cpp
+++ b/src/entry_server.cpp
@@ -21,7 +21,8 @@
 
 constexpr std::array<problem_code, static_cast<std::size_t>(input_fault::count)>
     fault_problems{problem_code::invalid_request, problem_code::header_too_long,
-        problem_code::body_too_long, problem_code::request_timeout};
+        problem_code::body_too_long, problem_code::request_timeout,
+        problem_code::overloaded};
 
 /// Returns a handler that sends a reply on the connection, if it still exists.
 std::function<void(http_reply&&)>
@@ -41,6 +42,7 @@
 entry_server::entry_server(entry_context& context, stop_times times)
     : context_(context), times_(times)
 {
+    context_.pool.set_memory(memory_);
 }
 
 entry_server::~entry_server() = default;
@@ -190,6 +192,10 @@
 void
 entry_server::on_accept(listener& from, tcp::socket&& socket)
 {
+    if (from.role == listener::kind::callers && !has_room_for_caller())
+    {
+        return;
+    }
     request_handler handler;
     if (from.role == listener::kind::peers)
     {
@@ -222,6 +228,10 @@
     }
     const auto on_fault = [this](input_fault fault)
     {
+        if (fault == input_fault::no_memory)
+        {
+            record_eviction("callers", "receiving", 0);
+        }
         return refuse({}, fault_problems[static_cast<std::size_t>(fault)],
             run_state::not_run, "the request could not be read");
     };
@@ -240,43 +250,17 @@
             end, listener::kind_names[static_cast<std::size_t>(role)], version);
     };
     auto connection = std::make_shared<caller_connection>(std::move(socket),
-        limits, connection_handlers{std::move(handler), on_fault, on_end});
+        limits, connection_handlers{std::move(handler), on_fault, on_end},
+        make_resources());
     if (stopping_)
     {
         connection->disable_keep_alive();
     }
-    connections_.push_back({connection, limited_by_state});
+    connections_.push_back(
+        {connection, limited_by_state, from.role == listener::kind::callers});
     connection->start();
 }
 
-void
-entry_server::on_connection_end(const connection_end& end,
-    std::string_view listener_name, std::uint64_t opened_version)
-{
-    const bool by_caller = end.cause == close_cause::caller_closed ||
-                           end.cause == close_cause::caller_asked ||
-                           end.cause == close_cause::input_refused;
-    const bool unanswered =
-        end.dropped_bytes > 0 || end.unsent_bytes > 0 || end.handling;
-    if (by_caller || !unanswered)
-    {
-        return;
-    }
-    context_.counters.add(counter::requests_dropped);
-    if (!context_.log.try_admit(event::request_dropped, monotonic_clock::now()))
-    {
-        return;
-    }
-    context_.log.write(event::request_dropped,
-        {{"listener", listener_name},
-            {"cause", close_cause_names[static_cast<std::size_t>(end.cause)]},
-            {"dropped_bytes", end.dropped_bytes},
-            {"unsent_bytes", end.unsent_bytes}, {"handling", end.handling},
-            {"idle_timeout_ms", to_milliseconds(end.idle_timeout)},
-            {"opened_version", opened_version},
-            {"config_version", state_ ? state_->version : 0}});
-}
-
 http_reply
 entry_server::local_reply(const std::string& path) const
 {
@@ -391,6 +375,12 @@
     {
         return;
     }
+    if (!has_memory_for(message))
+    {
+        connection->answer(refuse(message, problem_code::overloaded,
+            run_state::not_run, "the memory for requests is used up"));
+        return;
+    }
     if (cut_off_)
     {
         // The caller reconnects, and the load balancer then picks a ready VM.
--- a/src/entry_server.hpp
+++ b/src/entry_server.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "entry_query.hpp"
+#include "memory/memory_limits.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
 
@@ -17,6 +18,7 @@
 class caller_connection;
 class gather_job;
 struct connection_end;
+struct connection_resources;
 
 /// Times of a graceful stop, from its start. Idle connections stay open until
 /// `close_idle_after`. At `exit_after`, running requests are answered with what
@@ -59,6 +61,10 @@
     void
     set_key_guard(std::function<bool()> are_keys_current);
 
+    /// Sets the limits of connections that are opened from now on.
+    void
+    set_memory_limits(const memory_limits& limits);
+
     /// Returns the bound addresses in the order of the parameters of `listen`.
     std::vector<std::string>
     addresses() const;
@@ -142,6 +148,26 @@
     void
     on_connection_end(const connection_end& end, std::string_view listener_name,
         std::uint64_t opened_version);
+    connection_resources
+    make_resources();
+    /// Returns the open connections of callers.
+    std::vector<std::shared_ptr<caller_connection>>
+    open_callers() const;
+    /// Closes connections of callers until the memory is within its limit.
+    void
+    relieve_memory();
+    /// Returns false for a large request while the memory is used up.
+    bool
+    has_memory_for(const caller_message& message);
+    /// Returns whether a caller may connect. Closes an idle connection if there
+    /// are too many.
+    bool
+    has_room_for_caller();
+    void
+    record_eviction(std::string_view listener_name, std::string_view cause,
+        std::size_t bytes);
+    void
+    update_memory_gauges();
     void
     update_readiness();
     /// Time at which the process exits, during a stop.
@@ -164,6 +190,11 @@
     std::list<std::weak_ptr<entry_query>> queries_; ///< maybe ended since
     /// Orders in progress, by id.
     std::unordered_map<std::uint64_t, std::shared_ptr<gather_job>> jobs_;
+    std::shared_ptr<memory_account> memory_ =
+        std::make_shared<memory_account>();
+    std::size_t max_connections_ = 0; ///< of callers; 0 = no limit
+    read_rate_limit read_rate_;
+    bool relief_posted_ = false; ///< a call to `relieve_memory`
     bool synced_ = false;
     bool reported_ready_ = false;
     bool cut_off_ = false; ///< from the targets of other zones
--- a/src/entry_server_state.hpp
+++ b/src/entry_server_state.hpp
@@ -44,6 +44,7 @@
     std::shared_ptr<caller_connection> connection;
     /// The limits of a desired state apply to it; other VMs have their own.
     bool limited_by_state = true;
+    bool of_caller = true;
 };
 
 } // namespace bramleymux
--- a/src/entry_server_stop.cpp
+++ b/src/entry_server_stop.cpp
@@ -75,6 +75,8 @@
     // request as that request gets until the exit.
     const auto idle_timeout = std::min<duration>(config::stop_idle_timeout,
         (times_.exit_after - times_.close_idle_after) / 2);
+    relieve_memory();
+    update_memory_gauges();
     bool busy = false;
     for (auto it = connections_.begin(); it != connections_.end();)
     {
--- a/src/entry_settings.cpp
+++ b/src/entry_settings.cpp
@@ -158,6 +158,66 @@
     out.due_after = seconds(keys.number("usage/late_s", 0, 0, max_time_s));
 }
 
+/// Returns a number that is absent, 0, or in the range.
+double
+optional_number(
+    const key_reader& keys, const std::string& key, double low, double high)
+{
+    const double value = keys.number(key, 0, 0, high);
+    if (value > 0 && value < low)
+    {
+        std::ostringstream message;
+        message << "must be 0 or a number from " << low << " to " << high;
+        keys.report(key, message.str());
+        return 0;
+    }
+    return value;
+}
+
+void
+read_memory(const key_reader& keys, memory_limits& out)
+{
+    const double limit_mb = optional_number(
+        keys, "memory/limit_mb", config::min_memory_mb, config::max_memory_mb);
+    const double callers_mb = optional_number(keys, "memory/callers_mb",
+        static_cast<double>(config::min_caller_memory / config::mib),
+        config::max_memory_mb);
+    if (callers_mb > 0)
+    {
+        out.caller_bytes = static_cast<std::size_t>(callers_mb) * config::mib;
+    }
+    else if (limit_mb > 0)
+    {
+        out.caller_bytes = caller_bytes_of(limit_mb);
+    }
+    if (callers_mb > limit_mb && limit_mb > 0)
+    {
+        keys.report("memory/callers_mb", "must not exceed memory/limit_mb");
+    }
+    const double descriptors = optional_number(keys, "memory/max_descriptors",
+        config::min_descriptors, config::max_descriptors);
+    const double connections =
+        keys.number("memory/max_connections", 0, 0, config::max_descriptors);
+    if (connections > 0)
+    {
+        out.max_connections = static_cast<std::size_t>(connections);
+    }
+    else if (descriptors > 0)
+    {
+        out.max_connections =
+            max_connections_of(static_cast<std::size_t>(descriptors));
+    }
+    if (connections > descriptors && descriptors > 0)
+    {
+        keys.report(
+            "memory/max_connections", "must not exceed memory/max_descriptors");
+    }
+    out.read_rate.bytes_per_second = keys.number(
+        "memory/min_read_bytes_per_s", out.read_rate.bytes_per_second, 0, 1e9);
+    out.read_rate.span = seconds(keys.number(
+        "memory/read_span_s", in_seconds(out.read_rate.span), 0.1, max_time_s));
+}
+
 } // namespace
 
 entry_settings
@@ -195,6 +255,7 @@
     read_revocation(keys, out);
     read_duty(keys, out.duty);
     read_usage(keys, out.usage);
+    read_memory(keys, out.memory);
     const double grace_s = keys.number("stop/grace_s",
         in_seconds(out.stop.exit_after + config::exit_margin), 0.5, max_time_s);
     out.stop.exit_after = std::max<duration>(
--- a/src/entry_settings.hpp
+++ b/src/entry_settings.hpp
@@ -2,6 +2,7 @@
 
 #include "entry_server.hpp"
 #include "extra_load_window.hpp"
+#include "memory/memory_limits.hpp"
 #include "rollout.hpp"
 
 #include <bramleymux/types.hpp>
@@ -54,6 +55,7 @@
     std::optional<duration> revocation_bound;
     duty_settings duty;
     usage_settings usage;
+    memory_limits memory;
 };
 
 /// Parses and checks INI text. Appends every finding to `found`, at places that
--- a/src/entry_wire.hpp
+++ b/src/entry_wire.hpp
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "http_codec.hpp"
+#include "memory/memory_account.hpp"
 
 #include <bramleymux/types.hpp>
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -64,6 +66,7 @@
     header_fields forwarded;            ///< end-to-end fields for the caller
     std::string body;
     bool keep_alive = true;
+    std::shared_ptr<const memory_charge> charge; ///< for the body
 };
 
 /// Answer merged from the replies of several shards.
--- a/src/http_codec.cpp
+++ b/src/http_codec.cpp
@@ -232,6 +232,18 @@
                state_->parser->get()[http::field::expect], "100-continue");
 }
 
+std::size_t
+request_reader::held_bytes() const
+{
+    return state_->parser ? state_->parser->get().body().size() : 0;
+}
+
+void
+request_reader::reset()
+{
+    state_->parser.reset();
+}
+
 parsed_request
 request_reader::take()
 {
@@ -246,6 +258,37 @@
     return out;
 }
 
+namespace
+{
+
+constexpr int first_final_status = 200;
+constexpr int last_final_status = 599;
+constexpr int first_interim_status = 100;
+constexpr int switching_protocols = 101;
+
+/// Returns whether another reply follows this one. An interim reply has no body
+/// and does not end the connection; one that does was meant as the final reply.
+template <class Message>
+bool
+is_interim(const Message& message)
+{
+    const auto status = static_cast<int>(message.result_int());
+    return status >= first_interim_status && status < first_final_status &&
+           status != switching_protocols && message.keep_alive() &&
+           message.count(http::field::content_length) == 0 &&
+           message.count(http::field::transfer_encoding) == 0;
+}
+
+template <class Message>
+bool
+is_final(const Message& message)
+{
+    const auto status = static_cast<int>(message.result_int());
+    return status >= first_final_status && status <= last_final_status;
+}
+
+} // namespace
+
 struct reply_reader::state
 {
     std::optional<http::response_parser<http::string_body>> parser;
@@ -270,20 +313,20 @@
         state_->ended_by_close = false;
     }
     read_result result = feed(*state_->parser, bytes, limits);
-    const bool informational = result == read_result::complete &&
-                               state_->parser->get().result_int() < 200;
-    if (informational)
+    if (!state_->parser->is_header_done())
+    {
+        return result;
+    }
+    const auto& message = state_->parser->get();
+    if (result == read_result::complete && is_interim(message))
     {
         state_->parser.reset();
         return bytes.empty() ? read_result::need_more
                              : read(bytes, limits, bodiless);
     }
-    if (state_->parser->is_header_done() &&
-        !has_unambiguous_framing(state_->parser->get()))
-    {
-        return read_result::bad;
-    }
-    return result;
+    return is_final(message) && has_unambiguous_framing(message)
+               ? result
+               : read_result::bad;
 }
 
 read_result
@@ -300,6 +343,20 @@
                                                : read_result::complete;
 }
 
+int
+reply_reader::status() const
+{
+    return state_->parser && state_->parser->is_header_done()
+               ? static_cast<int>(state_->parser->get().result_int())
+               : 0;
+}
+
+std::size_t
+reply_reader::held_bytes() const
+{
+    return state_->parser ? state_->parser->get().body().size() : 0;
+}
+
 http_reply
 reply_reader::take()
 {
@@ -343,6 +400,8 @@
     out += "\r\n";
     if (!bodiless && reply.status != 204 && reply.status != 304)
     {
+        // Exactly, as growth by doubling would hold twice the answer.
+        out.reserve(out.size() + reply.body.size());
         out += reply.body;
     }
     return out;
--- a/src/http_codec.hpp
+++ b/src/http_codec.hpp
@@ -92,6 +92,14 @@
     bool
     expects_continue() const;
 
+    /// Returns the size of the body received so far.
+    std::size_t
+    held_bytes() const;
+
+    /// Discards the request that is being read.
+    void
+    reset();
+
     /// Returns the request after read() reported `complete`, and prepares for
     /// the next one.
     parsed_request
@@ -102,8 +110,11 @@
     std::unique_ptr<state> state_;
 };
 
-/// Parses the successive replies of one connection. Informational (1xx) replies
-/// are skipped.
+/// Parses the successive replies of one connection. Interim (1xx) replies are
+/// skipped. A reply is `bad` as soon as its header is read if its status is
+/// none of a final reply, which is from 200 to 599, and it is no interim reply:
+/// one with a body or without a reply after it, or 101, which no request asks
+/// for.
 class reply_reader
 {
 public:
@@ -120,6 +131,15 @@
     read_result
     end_of_stream();
 
+    /// Returns the status of the reply that is being read, or that was found
+    /// bad; 0 if it is unreadable.
+    int
+    status() const;
+
+    /// Returns the size of the body received so far.
+    std::size_t
+    held_bytes() const;
+
     /// Returns the reply after read() or end_of_stream() reported `complete`,
     /// and prepares for the next one.
     http_reply
--- a/src/target_link.cpp
+++ b/src/target_link.cpp
@@ -24,9 +24,12 @@
 
 } // namespace
 
-target_link::target_link(asio::io_context& loop, const entry_wire& wire)
+target_link::target_link(asio::io_context& loop, const entry_wire& wire,
+    std::shared_ptr<memory_account> memory)
     : socket_(loop), wire_(wire), since_(monotonic_clock::now()),
-      idle_limit_(config::max_idle_connection_time)
+      idle_limit_(config::max_idle_connection_time), memory_(std::move(memory)),
+      request_charge_(memory_, &memory_account::held),
+      reply_charge_(memory_, &memory_account::replies)
 {
 }
 
@@ -108,6 +111,12 @@
         return;
     }
     writing_ = written_ < output_.size();
+    if (!writing_)
+    {
+        std::string().swap(output_);
+        written_ = 0;
+    }
+    update_charges();
     if (writing_)
     {
         socket_.async_wait(tcp::socket::wait_write,
@@ -153,12 +162,47 @@
         any_byte_ = true;
         on_bytes();
     }
+    update_charges();
     if (state_ != link_state::closed)
+    {
+        read_or_pause();
+    }
+}
+
+/// Leaves the rest of a long reply to the kernel, whose buffer is bounded and
+/// makes the target wait, while the memory for replies is used up.
+void
+target_link::read_or_pause()
+{
+    paused_ = state_ == link_state::busy && memory_ &&
+              !may_read_reply(*memory_, this);
+    if (!paused_)
     {
         read();
     }
 }
 
+void
+target_link::resume()
+{
+    if (paused_ && state_ != link_state::closed)
+    {
+        read_or_pause();
+    }
+}
+
+void
+target_link::update_charges()
+{
+    const bool closed = state_ == link_state::closed;
+    request_charge_.set(closed ? 0 : output_.size());
+    reply_charge_.set(closed ? 0 : input_.size() + reader_.held_bytes());
+    if (memory_ && state_ != link_state::busy)
+    {
+        end_reply_turn(*memory_, this);
+    }
+}
+
 void
 target_link::on_bytes()
 {
@@ -172,7 +216,7 @@
             accept_reply(reader_.take());
             break;
         default:
-            finish(link_outcome::malformed, {});
+            finish(link_outcome::faulty, {});
             return;
         }
     }
@@ -219,6 +263,11 @@
         return;
     }
     echoes_ids_ = echoes_ids_ || !decoded.request_id.empty();
+    if (memory_)
+    {
+        decoded.charge = std::make_shared<const memory_charge>(
+            memory_, &memory_account::replies, decoded.body.size());
+    }
     finish(link_outcome::reply, std::move(decoded));
 }
 
@@ -238,6 +287,8 @@
 {
     const reply_handler handler = std::move(handler_);
     handler_ = nullptr;
+    const int faulty_status =
+        outcome == link_outcome::faulty ? reader_.status() : 0;
     const bool reusable = outcome == link_outcome::reply && reply.keep_alive &&
                           !tainted_ && !writing_ && input_.empty();
     if (reply.idle_limit)
@@ -254,9 +305,10 @@
     {
         close();
     }
+    update_charges();
     if (handler)
     {
-        handler({outcome, any_byte_, std::move(reply)});
+        handler({outcome, any_byte_, faulty_status, std::move(reply)});
     }
 }
 
@@ -272,9 +324,11 @@
     const reply_handler handler = std::move(handler_);
     handler_ = nullptr;
     enter(link_state::closed);
+    paused_ = false;
+    update_charges();
     if (handler)
     {
-        handler({link_outcome::closed, any_byte_, {}});
+        handler({link_outcome::closed, any_byte_, 0, {}});
     }
 }
 
--- a/src/target_link.hpp
+++ b/src/target_link.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "entry_wire.hpp"
+#include "memory/memory_account.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -26,7 +27,8 @@
 {
     reply,
     closed,    ///< the connection ended before a complete reply
-    malformed, ///< the bytes received are not a valid reply
+    malformed, ///< the reply cannot be attributed to the request
+    faulty,    ///< the bytes received are not a valid final reply
     count
 };
 
@@ -34,6 +36,7 @@
 {
     link_outcome outcome = link_outcome::closed;
     bool any_byte = false; ///< the target sent bytes after this request
+    int faulty_status = 0; ///< of a faulty reply; 0 if it is unreadable
     target_reply reply;
 };
 
@@ -46,7 +49,9 @@
     using opened_handler = std::function<void(bool)>;
     using reply_handler = std::function<void(link_result&&)>;
 
-    target_link(boost::asio::io_context& loop, const entry_wire& wire);
+    /// What the link holds is entered in `memory`, if there is one.
+    target_link(boost::asio::io_context& loop, const entry_wire& wire,
+        std::shared_ptr<memory_account> memory = nullptr);
 
     /// Connects to `target`. Calls `opened` once, from the event loop, with
     /// whether the connection is open.
@@ -70,6 +75,17 @@
     bool
     check_ready();
 
+    /// Reads on if it was paused because of the memory in use and may go on.
+    void
+    resume();
+
+    /// Returns whether it waits for memory to read its reply.
+    bool
+    is_paused() const
+    {
+        return paused_;
+    }
+
     link_state
     state() const
     {
@@ -94,6 +110,8 @@
     void
     read();
     void
+    read_or_pause();
+    void
     on_read(boost::system::error_code error, std::size_t bytes);
     void
     write();
@@ -109,6 +127,9 @@
     finish(link_outcome outcome, target_reply&& reply);
     void
     enter(link_state state);
+    /// Enters what the link holds in the account.
+    void
+    update_charges();
 
     boost::asio::ip::tcp::socket socket_;
     const entry_wire& wire_;
@@ -120,12 +141,16 @@
     std::string output_;
     std::size_t written_ = 0;
     bool writing_ = false;
+    bool paused_ = false;
     bool tainted_ = false;    ///< received a reply to another request
     bool echoes_ids_ = false; ///< an earlier reply carried its request's id
     bool any_byte_ = false;
     bool bodiless_ = false;
     std::string request_id_;
     reply_handler handler_;
+    std::shared_ptr<memory_account> memory_;
+    memory_charge request_charge_;
+    memory_charge reply_charge_;
 };
 
 } // namespace bramleymux
--- a/src/target_pool.cpp
+++ b/src/target_pool.cpp
@@ -109,6 +109,12 @@
     plan_all();
 }
 
+void
+target_pool::set_memory(std::shared_ptr<memory_account> memory)
+{
+    memory_ = std::move(memory);
+}
+
 target_pool::service_state&
 target_pool::service_of(const std::string& name)
 {
@@ -393,7 +399,7 @@
 target_pool::open_link(
     entry& e, std::function<void(const std::shared_ptr<target_link>&)> opened)
 {
-    auto link = std::make_shared<target_link>(loop_, wire_);
+    auto link = std::make_shared<target_link>(loop_, wire_, memory_);
     e.links.push_back(link);
     metrics_.add(counter::target_connections);
     link->open(e.endpoint,
@@ -493,12 +499,16 @@
 void
 target_pool::on_result(send_id id, link_result&& result)
 {
+    const auto found = sends_.find(id);
+    if (result.outcome == link_outcome::faulty && found != sends_.end())
+    {
+        record_faulty(*found->second.target, result);
+    }
     if (result.outcome != link_outcome::reply)
     {
         finish(id, send_outcome::broken, true, {});
         return;
     }
-    const auto found = sends_.find(id);
     if (found != sends_.end())
     {
         record_reply(*found->second.target, result.reply, found->second.since);
--- a/src/target_pool.hpp
+++ b/src/target_pool.hpp
@@ -89,6 +89,11 @@
     void
     set_options(pool_options options);
 
+    /// Sets the account in which connections opened from now on enter what they
+    /// hold.
+    void
+    set_memory(std::shared_ptr<memory_account> memory);
+
     const pool_options&
     options() const
     {
@@ -287,6 +292,9 @@
     void
     finish(send_id id, send_outcome outcome, bool may_have_run,
         target_reply&& reply);
+    /// Counts and logs a reply that is no valid final one.
+    void
+    record_faulty(const entry& e, const link_result& result);
     target_state*
     choose_version(service_state& service, choice_context& context);
     void
@@ -328,6 +336,7 @@
     metrics& metrics_;
     decision_log& log_;
     pool_options options_;
+    std::shared_ptr<memory_account> memory_;
     vm_counts vms_;
     monotonic_time last_other_zone_reply_at_{};
     monotonic_time reach_probe_at_{};
--- a/src/target_pool_reply.cpp
+++ b/src/target_pool_reply.cpp
@@ -30,6 +30,21 @@
     record_notice(e, reply.notice, sent_at);
 }
 
+void
+target_pool::record_faulty(const entry& e, const link_result& result)
+{
+    metrics_.add(counter::replies_faulty);
+    const monotonic_time now = monotonic_clock::now();
+    if (log_.try_admit(event::reply_faulty, now))
+    {
+        log_.write(event::reply_faulty,
+            {{"target", e.state.record.id}, {"service", e.state.record.service},
+                {"address", e.state.record.address},
+                {"zone", e.state.record.zone},
+                {"status", result.faulty_status}});
+    }
+}
+
 void
 target_pool::record_notice(
     entry& e, const target_notice& notice, monotonic_time sent_at)
--- a/src/target_pool_upkeep.cpp
+++ b/src/target_pool_upkeep.cpp
@@ -19,6 +19,14 @@
     return status >= first_success && status < first_redirect;
 }
 
+/// Returns whether this VM itself keeps the reply waiting.
+bool
+waits_for_memory(const std::weak_ptr<target_link>& weak)
+{
+    const auto link = weak.lock();
+    return link && link->is_paused();
+}
+
 } // namespace
 
 void
@@ -65,6 +73,10 @@
     const target_reply& reply = result.reply;
     const bool replied = result.outcome == link_outcome::reply;
     e.state.probing = false;
+    if (result.outcome == link_outcome::faulty)
+    {
+        record_faulty(e, result);
+    }
     const auto link = e.probe_link.lock();
     if (reply.not_run && link)
     {
@@ -148,6 +160,7 @@
         {
             link->close();
         }
+        link->resume();
     }
     e.links.erase(
         std::remove_if(e.links.begin(), e.links.end(),
@@ -181,6 +194,7 @@
             ended.push_back(id);
         }
         else if (!pending.recorded_unresponsive && pending.on_wire &&
+                 !waits_for_memory(pending.link) &&
                  now - pending.since >
                      config::target_silence_limit + 4 * pending.order.expected)
         {
--- a/tests/test_faulty_replies.cpp
+++ b/tests/test_faulty_replies.cpp
@@ -114,25 +114,45 @@
     CHECK(count_of(vm, counter::replies_faulty) == 0);
 }
 
-// Guards against a probe that takes a faulty reply for a sign of health.
+// Guards against a probe that takes a faulty reply for a sign of health, or
+// waits for its timeout without counting it.
 TEST_CASE("a faulty reply to a probe does not end a target's block",
     "[entry][faulty]")
 {
-    for (const std::string& status : faulty_statuses)
+    entry_vm vm;
+    std::vector<std::unique_ptr<stand_in_target>> targets;
+    std::vector<std::unique_ptr<test_caller>> callers;
+    std::vector<route_rule> routes;
+    std::vector<std::string> services;
+    for (std::size_t i = 0; i < std::size(faulty_statuses); ++i)
     {
-        CAPTURE(status);
-        entry_vm vm;
-        stand_in_target target(vm.loop, "t", unresponsive);
-        vm.pool.put(target.record("s", "north"));
-        vm.adopt(1, {entry_vm::make_route("q", {"s"}, false, true)});
-        test_caller caller(vm.loop, vm.caller_address());
-        caller.send(get("/q/1", "r1"));
-        caller.run_until([&] { return !vm.pool.is_served("s", {}); });
-        target.set_script(with_status(status));
-        caller.run_until(
-            [&] { return count_of(vm, counter::replies_faulty) >= 1; });
-        CHECK(!vm.pool.is_served("s", {}));
+        services.push_back("s" + std::to_string(i));
+        targets.push_back(std::make_unique<stand_in_target>(
+            vm.loop, "t" + std::to_string(i), unresponsive));
+        vm.pool.put(targets.back()->record(services.back(), "north"));
+        routes.push_back(entry_vm::make_route(
+            services.back(), {services.back()}, false, true));
+    }
+    vm.adopt(1, routes);
+    for (const std::string& service : services)
+    {
+        callers.push_back(
+            std::make_unique<test_caller>(vm.loop, vm.caller_address()));
+        callers.back()->send(get("/" + service + "/1", service));
+    }
+    const auto is_served = [&](const std::string& service)
+    { return vm.pool.is_served(service, {}); };
+    callers.front()->run_until([&]
+        { return std::none_of(services.begin(), services.end(), is_served); });
+    for (std::size_t i = 0; i < targets.size(); ++i)
+    {
+        targets[i]->set_script(with_status(faulty_statuses[i]));
     }
+    callers.front()->run_until(
+        [&] {
+            return count_of(vm, counter::replies_faulty) >= 2 * targets.size();
+        });
+    CHECK(std::none_of(services.begin(), services.end(), is_served));
 }
 
 // Guards against a call to the store or to another VM that takes a faulty
