--- a/src/config/memory.hpp
+++ b/src/config/memory.hpp
@@ -12,7 +12,7 @@
 // Holds the longest reply of a target twice, as reply and as answer, and a
 // long request.
 inline constexpr std::size_t min_caller_memory = 16 * mib;
-inline constexpr double min_memory_mb = 64;
+inline constexpr double min_memory_mb = 32;
 inline constexpr double max_memory_mb = 1e6;
 // Part of the memory for callers beyond which replies of targets are read one
 // after the other: a half.
@@ -44,7 +44,7 @@
 inline constexpr double reserved_descriptor_share = 0.25;
 inline constexpr std::size_t min_reserved_descriptors = 48;
 inline constexpr std::size_t max_reserved_descriptors = 256;
-inline constexpr double min_descriptors = 96;
+inline constexpr double min_descriptors = 64;
 inline constexpr double max_descriptors = 1e7;
 
 } // namespace bramleymux::config
--- a/tests/test_entry_settings.cpp
+++ b/tests/test_entry_settings.cpp
@@ -57,3 +57,38 @@
     load_entry_settings("/nonexistent/settings.ini", found);
     CHECK(found.size() == 1);
 }
+
+// Guards against limits that are not derived from the machine, and against
+// other limits for a deployment that sets none.
+TEST_CASE("limits of memory are derived or set", "[entry][memory]")
+{
+    findings found;
+    const auto read = [&](const std::string& section)
+    {
+        return parse_entry_settings(
+            good + "[memory]\n" + section, "file", found)
+            .memory;
+    };
+    const std::size_t mib = 1U << 20U;
+    CHECK(read("").caller_bytes == 0);
+    CHECK(read("limit_mb = 0\nmax_descriptors =\n").max_connections == 0);
+    const memory_limits derived =
+        read("limit_mb = 160\nmax_descriptors = 1024\n");
+    CHECK(derived.caller_bytes == 40 * mib);
+    CHECK(derived.max_connections == 768);
+    const memory_limits set = read(
+        "limit_mb = 160\ncallers_mb = 20\nmax_descriptors = 1024\n"
+        "max_connections = 7\nmin_read_bytes_per_s = 9\nread_span_s = 3\n");
+    CHECK(set.caller_bytes == 20 * mib);
+    CHECK(set.max_connections == 7);
+    CHECK(set.read_rate.bytes_per_second == 9.0);
+    CHECK(set.read_rate.span == 3s);
+    CHECK(found.empty());
+    read("limit_mb = 8\ncallers_mb = 4\nmax_descriptors = 5\n"
+         "read_span_s = 0\n");
+    CHECK(found.size() == 4);
+    found.clear();
+    read("limit_mb = 64\ncallers_mb = 65\nmax_descriptors = 100\n"
+         "max_connections = 101\n");
+    CHECK(found.size() == 2);
+}
