Read headers longer than the read-ahead bound, and pause futile relief

Cause: Beast leaves a header in the input until it is complete, so a desired state with headers above 64 KiB would stop the reading; while nothing can be closed, each byte received searched again. Change: the read-ahead bound includes the longest header; a search that found nothing is repeated after 10 ms at the earliest.

--- a/src/caller_connection.cpp
+++ b/src/caller_connection.cpp
@@ -97,7 +97,7 @@
 caller_connection::wait_readable()
 {
     if (read_wait_pending_ || input_ended_ || phase_ == phase::closed ||
-        input_.size() > config::max_pipelined_bytes)
+        input_.size() > config::max_pipelined_bytes + limits_.max_header_bytes)
     {
         return;
     }
--- a/src/config/memory.hpp
+++ b/src/config/memory.hpp
@@ -25,6 +25,8 @@
 inline constexpr std::size_t min_evicted_bytes = 16 * kib;
 // Age from which the rate of a connection is known.
 inline constexpr auto rate_grace = 250ms;
+// Pause after a search for connections to close that found none.
+inline constexpr auto relief_retry_delay = 10ms;
 // A header that is still incomplete at this age may make room for a new
 // connection.
 inline constexpr auto header_grace = 1s;
--- a/src/entry_server.hpp
+++ b/src/entry_server.hpp
@@ -195,6 +195,7 @@
     std::size_t max_connections_ = 0; ///< of callers; 0 = no limit
     read_rate_limit read_rate_;
     bool relief_posted_ = false; ///< a call to `relieve_memory`
+    monotonic_time next_relief_at_{};
     bool synced_ = false;
     bool reported_ready_ = false;
     bool cut_off_ = false; ///< from the targets of other zones
--- a/src/entry_server_memory.cpp
+++ b/src/entry_server_memory.cpp
@@ -24,7 +24,7 @@
     return {memory_, read_rate_,
         [this]
         {
-            if (!relief_posted_)
+            if (!relief_posted_ && monotonic_clock::now() >= next_relief_at_)
             {
                 relief_posted_ = true;
                 boost::asio::post(context_.loop,
@@ -69,6 +69,11 @@
     }
     const auto chosen = choose_evictions(
         holders, excess, memory_->limit / config::address_memory_divisor);
+    if (chosen.empty())
+    {
+        // Nothing can be closed now. Each byte received would ask again.
+        next_relief_at_ = now + config::relief_retry_delay;
+    }
     if (context_.log.try_admit(event::memory_full, now))
     {
         context_.log.write(event::memory_full,
