Test whom a full VM closes and refuses

Cause: the process tests check bounds, not who gives way. Change: two tests in test_memory.cpp: a silent connection is closed for a new caller, and a full VM refuses large requests only, truthfully.

--- a/tests/test_memory.cpp
+++ b/tests/test_memory.cpp
@@ -190,3 +190,66 @@
     CHECK(max_connections_of(96) == 48);
     CHECK(max_connections_of(100000) == 100000 - 256);
 }
+
+// Guards against a used connection that is closed for a new one while a silent
+// one is open.
+TEST_CASE("a silent connection makes room for a new caller", "[entry][memory]")
+{
+    entry_vm vm;
+    memory_limits limits;
+    limits.max_connections = 2;
+    vm.server.set_memory_limits(limits);
+    test_caller used(vm.loop, vm.caller_address());
+    used.send(get("/q/1", "r1"));
+    CHECK(used.reply().status == 503);
+    test_caller silent(vm.loop, vm.caller_address());
+    test_caller fresh(vm.loop, vm.caller_address());
+    fresh.send(get("/q/1", "r2"));
+    CHECK(fresh.reply().status == 503);
+    used.send(get("/q/1", "r3"));
+    CHECK(used.reply().status == 503);
+    fresh.run_until([&] { return silent.closed; });
+    CHECK(!used.closed);
+    CHECK(vm.counters.read()[counter::callers_evicted] == 1);
+    CHECK(vm.counters.read()[counter::connections_refused] == 0);
+}
+
+// Guards against a refusal of ordinary requests while large ones fill the
+// memory, and against a large one that is taken in addition.
+TEST_CASE("a full VM refuses large requests only", "[entry][memory]")
+{
+    entry_vm vm;
+    memory_limits limits;
+    limits.caller_bytes = 4 * large;
+    vm.server.set_memory_limits(limits);
+    stand_in_target silent(vm.loop, "silent", unresponsive);
+    stand_in_target good_one(vm.loop, "good",
+        [](const parsed_request& r) { return good(r, "p", "body"); });
+    vm.pool.put(silent.record("s", "north"));
+    vm.pool.put(good_one.record("g", "north"));
+    caller_limits callers_may;
+    callers_may.max_body_bytes = 2 * large;
+    vm.adopt(1,
+        {entry_vm::make_route("s", {"s"}, false, false),
+            entry_vm::make_route("g", {"g"}, false, false)},
+        callers_may);
+    std::vector<std::unique_ptr<test_caller>> holders;
+    for (int i = 0; i < 4; ++i)
+    {
+        holders.push_back(
+            std::make_unique<test_caller>(vm.loop, vm.caller_address()));
+        holders.back()->send(
+            post("/s/1", "r" + std::to_string(i), std::string(large, 'b')));
+        holders.back()->run_until(
+            [&] { return vm.counters.read()[counter::requests] == i + 1U; });
+    }
+    test_caller more(vm.loop, vm.caller_address());
+    more.send(post("/g/1", "large", std::string(large, 'b')));
+    const http_reply refused = more.reply();
+    CHECK(refused.status == 503);
+    CHECK(refused.body.find("\"run\":\"not_run\"") != std::string::npos);
+    CHECK(find_field(refused.fields, "Retry-After") != nullptr);
+    more.send(get("/g/1", "small"));
+    CHECK(more.reply().body == "body");
+    CHECK(good_one.received.size() == 1);
+}
