Divide the least memory for callers as a floating point number

Cause: clang-tidy reports an integer division in entry_settings.cpp. Result: clang-tidy had no other finding in entry_server_memory, entry_server, entry_settings, target_pool_upkeep, bramleymux_entry_main and caller_connection. Built with -O0, [slow-callers], [memory] and [faulty] pass.

--- a/src/entry_settings.cpp
+++ b/src/entry_settings.cpp
@@ -180,7 +180,8 @@
     const double limit_mb = optional_number(
         keys, "memory/limit_mb", config::min_memory_mb, config::max_memory_mb);
     const double callers_mb = optional_number(keys, "memory/callers_mb",
-        static_cast<double>(config::min_caller_memory / config::mib),
+        static_cast<double>(config::min_caller_memory) /
+            static_cast<double>(config::mib),
         config::max_memory_mb);
     if (callers_mb > 0)
     {
