Let polls wait while a relay lists a restored store

Cause: a relay that lists anew after a restore refused polls; three refusals in a row (0.3 s) make every follower follow the store itself for 8 s. Change: polls wait, for their usual 2 s at most, while the relay reaches the store and has not confirmed all kinds in the newer era; they are refused as before if the store does not reply, after a pause and at a stop. Result: bramleymux_tests "[era],[platform],[docs]" (35 test cases) and the 16 of relays, followers and polls pass.

--- a/src/change_hub.cpp
+++ b/src/change_hub.cpp
@@ -185,6 +185,7 @@
         return false;
     }
     unconfirmed_kinds_ = kinds_;
+    restored_ = true;
     if (log_.try_admit(event::store_restored, monotonic_clock::now()))
     {
         log_.write(event::store_restored, {{"era", era}, {"former", former}});
@@ -232,9 +233,23 @@
 /// soon, so that its followers turn to other relays or to the store.
 bool
 change_hub::is_current(monotonic_time now) const
+{
+    return reaches_store(now) && is_confirmed();
+}
+
+bool
+change_hub::reaches_store(monotonic_time now) const
 {
     return follows_store_ && !store_failed_ && !stopping_ && is_synced() &&
-           is_confirmed() && now - last_store_reply_at_ < data_max_age_;
+           now - last_store_reply_at_ < data_max_age_;
+}
+
+/// Returns whether this VM lists a restored store. Polls wait meanwhile: three
+/// refusals in a row would send all followers to the store.
+bool
+change_hub::is_relisting(monotonic_time now) const
+{
+    return restored_ && !is_confirmed() && reaches_store(now);
 }
 
 void
@@ -405,7 +420,7 @@
     {
         refresh();
     }
-    if (!is_current(now))
+    if (!is_current(now) && !is_relisting(now))
     {
         http_reply out;
         out.status = status_unavailable;
@@ -425,11 +440,14 @@
 {
     const bool settled = now - last_change_at_ >= config::relay_batch_delay;
     const bool current = is_current(now);
+    const bool relisting = is_relisting(now);
+    restored_ = restored_ && !current;
     for (auto it = pending_polls_.begin(); it != pending_polls_.end();)
     {
         const bool has_changes =
             it->epoch != view_.epoch || (settled && it->after < view_.sequence);
-        if (current && !has_changes && now < it->deadline)
+        const bool waits = relisting || (current && !has_changes);
+        if (waits && now < it->deadline)
         {
             ++it;
             continue;
--- a/src/change_hub.hpp
+++ b/src/change_hub.hpp
@@ -195,6 +195,10 @@
     answer_polls(monotonic_time now);
     bool
     is_current(monotonic_time now) const;
+    bool
+    reaches_store(monotonic_time now) const;
+    bool
+    is_relisting(monotonic_time now) const;
 
     boost::asio::io_context& loop_;
     metrics& metrics_;
@@ -211,6 +215,7 @@
     std::uint64_t last_relay_id_ = 0;
     std::list<pending_poll> pending_polls_;
     std::optional<std::uint64_t> era_; ///< newest known; see store_revision
+    bool restored_ = false;            ///< since all kinds were last confirmed
     duration data_max_age_;
     monotonic_time last_store_reply_at_{};
     monotonic_time last_update_at_{};
