--- a/tests/test_routing.cpp
+++ b/tests/test_routing.cpp
@@ -25,8 +25,8 @@
 }
 
 query_plan
-plan(const tools::model_fleet& f, plan_request request, std::vector<shard_id> shards,
-    std::uint64_t seed = 1)
+plan(const tools::model_fleet& f, plan_request request,
+    std::vector<shard_id> shards, std::uint64_t seed = 1)
 {
     const auto index = build_routing_index(f.topology, f.reports);
     std::mt19937_64 random(seed);
