Mend what a reader of the whole change found

Change: with strict revocation a process that first sees the store after a restore lets no proof count until two other VMs named their version (restart_check).

--- a/src/call_channel.hpp
+++ b/src/call_channel.hpp
@@ -36,7 +36,9 @@
 {
     int status = 0; ///< 0 if no reply came; the call may have been executed
     std::string body;
-    bool unsent = false; ///< not connected, so the call was not executed
+    /// Not connected, or not sent on the word of `may_send`: the call was not
+    /// executed.
+    bool unsent = false;
     /// Restores of the platform's store so far, as the reply states them; see
     /// `era_reader`.
     std::optional<std::uint64_t> store_era;
--- a/src/config/duties.hpp
+++ b/src/config/duties.hpp
@@ -16,8 +16,9 @@
 // A lease that is renewed every third of its length survives one lost renewal.
 inline constexpr int duty_renewals_per_lease = 3;
 
-// VMs that may acquire a duty. Eight VMs span all zones with near certainty,
-// and their stale reads cost less than one consistent read a second.
+// VMs that may acquire a duty. Eight VMs of four equal zones are nearly never
+// all in one zone, and their stale reads cost less than one consistent read a
+// second.
 inline constexpr std::size_t duty_candidates = 8;
 // The first candidates read the lease object often, so that a hand-over is
 // fast; the others only need to notice that these are gone.
@@ -26,7 +27,8 @@
 inline constexpr auto duty_read_period = std::chrono::seconds(3);
 
 // A call to the store without a reply for this time is resolved by a read. Two
-// such calls fit between two renewals and the end of the lease.
+// such calls fit between the time at which a renewal is due and the end of a
+// lease of 3 s.
 inline constexpr auto duty_store_timeout = std::chrono::milliseconds(700);
 // Waits after failed calls to the store: refused calls have a price as well.
 inline constexpr auto duty_retry_base = std::chrono::milliseconds(100);
--- a/src/config/usage.hpp
+++ b/src/config/usage.hpp
@@ -23,7 +23,7 @@
 inline constexpr std::size_t max_usage_workspaces = 4096;
 // Counts that a collector keeps, 80 bytes each: 16 MB.
 inline constexpr std::size_t max_usage_entries = 200'000;
-// Processes of VMs that a collector knows; a zone has fewer than 100 VMs.
+// Processes of VMs that a collector knows: several times the VMs of a zone.
 inline constexpr std::size_t max_usage_sources = 512;
 inline constexpr std::size_t max_usage_message_bytes = 768 * kib;
 inline constexpr std::size_t max_usage_message_items = 65'536;
--- a/src/duties/duty_lease.cpp
+++ b/src/duties/duty_lease.cpp
@@ -41,9 +41,9 @@
                                   lease.self) != lease.known->formers.end());
 }
 
-/// Returns the time before which this VM must not acquire the lease, since
-/// another VM may have acted between this VM's calls and now. An earlier
-/// process of this VM ended before this one started.
+/// Returns the time before which this VM must not acquire the lease: one lease
+/// after it may last have acted, so that holders never act in the order A, B, A
+/// within a lease. An earlier process of this VM ended before this one started.
 duration
 quiet_until(const duty_lease& lease)
 {
--- a/src/duties/duty_work.hpp
+++ b/src/duties/duty_work.hpp
@@ -67,8 +67,8 @@
     pending_written, ///< the lease object holds the messages of the last step
     pending_refused, ///< too many messages or bytes; nothing was written
     call_accepted,   ///< status 2xx
-    call_refused,    ///< another status, such as 429: the call took no effect
-    outcome_unknown, ///< sent, but no reply: it may take effect, or have done
+    call_refused,    ///< 4xx or 503: the call took no effect
+    outcome_unknown, ///< sent without such a reply: it may take effect yet
     call_not_sent,   ///< not connected, or the lease ends too soon
     lease_lost,      ///< or released; a step in progress gets no other result
     count
@@ -96,9 +96,9 @@
 };
 
 /// Functions of the owner of a duty's work; all must be set. They are called
-/// from the event loop, never from within each other. After a failed step the
-/// next one is asked for only after a wait, so the owner may return the same
-/// step again at once.
+/// from the event loop, never from within each other. After a failed call the
+/// next step is asked for only after a wait, so the owner may return the same
+/// call again at once.
 struct duty_work
 {
     /// Called when this VM acquires the duty, before any `next`.
--- a/src/entry_settings.cpp
+++ b/src/entry_settings.cpp
@@ -146,8 +146,6 @@
     out.calls_per_second = keys.number("duty/calls_per_s", 0, 0, 1e6);
     out.lease = seconds(
         keys.number("duty/lease_ms", 0, 0, max_time_s * ms_per_s) / ms_per_s);
-    out.thaw_slack = seconds(
-        keys.number("duty/thaw_ms", 0, 0, max_time_s * ms_per_s) / ms_per_s);
 }
 
 void
--- a/src/entry_settings.hpp
+++ b/src/entry_settings.hpp
@@ -22,7 +22,6 @@
     std::vector<std::string> names; ///< of the duties
     double calls_per_second = 0;    ///< from all VMs together
     duration lease{};
-    duration thaw_slack{}; ///< calls this soon after a freeze are not judged
 };
 
 /// Reports of the requests of each workspace; needs `duty_settings`.
--- a/src/keys/proof_exchange.cpp
+++ b/src/keys/proof_exchange.cpp
@@ -65,9 +65,21 @@
 }
 
 void
-proof_exchange::record_store_proof(duration sent_at)
+proof_exchange::record_store_proof(duration sent_at, std::uint64_t era)
 {
-    bramleymux::record_store_proof(proof_, sent_at);
+    record_store_era(restart_, era);
+    if (is_restart_checked())
+    {
+        bramleymux::record_store_proof(proof_, sent_at);
+    }
+}
+
+bool
+proof_exchange::is_restart_checked() const
+{
+    return !bound_ ||
+           bramleymux::is_restart_checked(restart_, boot_time() - started_at_,
+               *bound_, sources_.others.size());
 }
 
 bool
@@ -146,15 +158,16 @@
     // Read before the send, so that the time of the call counts as age.
     const duration asked_at = boot_time();
     channel.call({"GET", path, {}, {}, true}, config::question_timeout,
-        [this, asked_at](call_reply&& reply)
+        [this, asked_at, address](call_reply&& reply)
         {
             asking_ = false;
-            on_answer(asked_at, reply);
+            on_answer(asked_at, address, reply);
         });
 }
 
 void
-proof_exchange::on_answer(duration asked_at, const call_reply& reply)
+proof_exchange::on_answer(
+    duration asked_at, const std::string& address, const call_reply& reply)
 {
     const auto answer =
         reply.status == status_ok ? decode_freshness(reply.body) : std::nullopt;
@@ -167,12 +180,17 @@
     const bool usable = answer && answer->version == handlers_.state().version;
     if (usable)
     {
-        record_peer_proof(proof_, asked_at, answer->age);
+        record_store_era(restart_, handlers_.state().store_era);
+        record_confirmation(restart_, address);
     }
     else
     {
         metrics_.add(counter::freshness_failed);
     }
+    if (usable && is_restart_checked())
+    {
+        record_peer_proof(proof_, asked_at, answer->age);
+    }
     const auto age = age_of(proof_, boot_time());
     record_question_end(
         questions_, usable && bound_ && age && *age <= question_age(*bound_));
--- a/src/keys/proof_exchange.hpp
+++ b/src/keys/proof_exchange.hpp
@@ -22,6 +22,7 @@
     bool has_workspaces = false;
     std::uint64_t version = 0; ///< 0 without a state
     store_revision revision;   ///< of its object in the store
+    std::uint64_t store_era = 0;
     /// Payload of the object; null if this VM no longer holds it.
     const std::string* payload = nullptr;
 };
@@ -51,9 +52,10 @@
     set_vms(const std::vector<registered_vm>& vms, const registered_vm& self);
 
     /// Records a successful list or watch of the desired state that was sent at
-    /// this boot time, after what it returned has been applied.
+    /// this boot time, after what it returned has been applied, in an era of
+    /// the store.
     void
-    record_store_proof(duration sent_at);
+    record_store_proof(duration sent_at, std::uint64_t era);
 
     /// Returns whether the keys are known as of so recently that no revoked one
     /// is accepted. Reads the clock, so it also holds after a freeze.
@@ -78,10 +80,14 @@
 private:
     bool
     is_needed() const;
+    /// Returns whether proofs count: no other VM knows a newer state.
+    bool
+    is_restart_checked() const;
     void
     ask(const std::string& address);
     void
-    on_answer(duration asked_at, const call_reply& reply);
+    on_answer(
+        duration asked_at, const std::string& address, const call_reply& reply);
     call_channel&
     channel_to(const std::string& address);
     void
@@ -96,6 +102,7 @@
     state_proof proof_;
     proof_sources sources_;
     question_state questions_;
+    restart_check restart_;
     std::vector<std::unique_ptr<call_channel>> channels_; ///< oldest first
     duration started_at_;
     bool asking_ = false;
--- a/src/keys/state_proof.cpp
+++ b/src/keys/state_proof.cpp
@@ -95,6 +95,34 @@
     return sources.relays[questions.relay % sources.relays.size()];
 }
 
+void
+record_store_era(restart_check& check, std::uint64_t era)
+{
+    check.passed = check.passed || era == 0;
+}
+
+void
+record_confirmation(restart_check& check, const std::string& address)
+{
+    const bool known = std::find(check.answered.begin(), check.answered.end(),
+                           address) != check.answered.end();
+    if (!known && check.answered.size() < config::restart_confirmations)
+    {
+        check.answered.push_back(address);
+    }
+}
+
+bool
+is_restart_checked(const restart_check& check, duration since_start,
+    duration bound, std::size_t other_vms)
+{
+    // Without a list of the VMs there may be others.
+    const std::size_t needed =
+        std::clamp<std::size_t>(other_vms, 1, config::restart_confirmations);
+    return check.passed || since_start >= bound ||
+           check.answered.size() >= needed;
+}
+
 void
 record_question_end(question_state& questions, bool useful)
 {
--- a/src/keys/state_proof.hpp
+++ b/src/keys/state_proof.hpp
@@ -75,6 +75,31 @@
 next_question(question_state& questions, const state_proof& proof, duration now,
     duration bound, const proof_sources& sources, std::uint64_t random);
 
+/// Whether a process has made sure that no VM knows a newer desired state. A
+/// store that was restored from an older copy may lack a revocation that VMs
+/// know which ran before, so one that starts asks them before it accepts keys.
+struct restart_check
+{
+    bool passed = false;
+    std::vector<std::string> answered; ///< addresses of VMs, each once
+};
+
+/// Records the era of the store. A process that sees the store before any
+/// restore needs no check.
+void
+record_store_era(restart_check& check, std::uint64_t era);
+
+/// Records that a VM knows no newer state than the one in force here.
+void
+record_confirmation(restart_check& check, const std::string& address);
+
+/// Returns whether proofs count: after confirmations of two VMs, or of the only
+/// other one, or `bound` after the start, so that a fleet that starts
+/// as a whole serves again.
+bool
+is_restart_checked(const restart_check& check, duration since_start,
+    duration bound, std::size_t other_vms);
+
 /// Records the end of a question. It was useful if the proof is now younger
 /// than `question_age`: a VM that is cut off itself answers with a proof that
 /// grows old.
--- a/src/log_events.cpp
+++ b/src/log_events.cpp
@@ -153,13 +153,13 @@
         {1731, level::info, "usage_reported",
             "The usage of a window was reported."},
         {1732, level::warning, "usage_skipped",
-            "The usage of a window is not known well enough and was not "
-            "reported."},
+            "The usage of a window was not reported, or its report was not "
+            "answered; the reason is given."},
         {1733, level::info, "usage_repeated",
             "The pending usage report of an earlier holder was sent again."},
         {1734, level::warning, "clock_corrected",
-            "The time of day of this VM differs from that of the others, which "
-            "it uses instead."},
+            "The clock of this VM differed from the median of the others and "
+            "was set to it."},
         {1741, level::warning, "store_restored",
             "The store was restored from an older copy; what this VM knows of "
             "it is read anew."},
@@ -169,14 +169,14 @@
         {1743, level::info, "store_object_rewritten",
             "An object that the restored store lacks was written again."},
         {1751, level::warning, "memory_full",
-            "The memory for callers is used up; the largest holders are "
-            "closed."},
+            "Requests, answers and replies exceed the memory for callers; slow "
+            "connections that hold much are closed."},
         {1752, level::warning, "caller_evicted",
             "A caller's connection was closed because of the memory that it "
             "held or its slow reading."},
         {1753, level::warning, "connections_full",
-            "Connections of callers were refused, since the limit of "
-            "connections is reached."},
+            "The limit of callers' connections is reached; a new one was "
+            "refused or replaced an idle one."},
         {1754, level::warning, "reply_faulty",
             "A target sent a reply that is no valid final reply."},
     }};
--- a/tests/test_revocation.cpp
+++ b/tests/test_revocation.cpp
@@ -31,7 +31,7 @@
         : server(parts.context, {200ms, 400ms}),
           proofs(parts.loop, parts.counters, parts.log,
               {[this, version] {
-                   return state_in_force{true, version, {0, 1000}, &payload};
+                   return state_in_force{true, version, {0, 1000}, 0, &payload};
                },
                   [](const freshness_answer&) {}})
     {
@@ -160,7 +160,7 @@
     vm.server.set_synced(true);
     answering_vm other(vm, 3);
     answering_vm behind(vm, 2);
-    behind.proofs.record_store_proof(boot_time());
+    behind.proofs.record_store_proof(boot_time(), 0);
 
     std::uint64_t adopted = 0;
     proof_exchange proofs(vm.loop, vm.counters, vm.log,
@@ -209,7 +209,7 @@
     ask_until([&] { return asked() >= 3; });
     CHECK(!proofs.is_current());
 
-    other.proofs.record_store_proof(boot_time());
+    other.proofs.record_store_proof(boot_time(), 0);
     ask_until([&] { return proofs.is_current(); });
     CHECK(adopted == 0);
     test_caller again(vm.loop, vm.caller_address());
@@ -247,7 +247,7 @@
     fleet.request_until(200);
     fleet.store.set_cut(0, true);
     fleet.other.payload = state_spec(2, {to_hex(digest_of("key-b"))}).dump();
-    fleet.other.proofs.record_store_proof(boot_time());
+    fleet.other.proofs.record_store_proof(boot_time(), 0);
     fleet.request_until(401);
     CHECK(fleet.vm.server.state()->version == 2);
 }
--- a/tests/test_state_proof.cpp
+++ b/tests/test_state_proof.cpp
@@ -296,6 +296,29 @@
     CHECK(!next_question(questions, proof, now + 2s, bound, {}, 7));
 }
 
+// Guards against a process that starts after a restore of the store and accepts
+// a key whose revocation the restored copy lacks, and against a fleet that
+// starts as a whole and never serves again.
+TEST_CASE("a start in a restored store waits for other VMs", "[revocation]")
+{
+    restart_check check;
+    record_store_era(check, 1);
+    CHECK(!is_restart_checked(check, 0s, bound, 5));
+    record_confirmation(check, "a");
+    record_confirmation(check, "a");
+    CHECK(!is_restart_checked(check, 0s, bound, 5));
+    CHECK(is_restart_checked(check, 0s, bound, 1));
+    CHECK(is_restart_checked(check, bound, bound, 5));
+    record_confirmation(check, "b");
+    CHECK(is_restart_checked(check, 0s, bound, 5));
+    // Without a list of the VMs there may be others.
+    CHECK(!is_restart_checked(restart_check{}, 0s, bound, 0));
+    restart_check before_any_restore;
+    record_store_era(before_any_restore, 0);
+    record_store_era(before_any_restore, 1);
+    CHECK(is_restart_checked(before_any_restore, 0s, bound, 5));
+}
+
 // Guards against an age that is rounded down on its way, a state that is lost,
 // and a message that takes memory without bound or crashes the process.
 TEST_CASE("answers on freshness are bounded and exact", "[revocation]")
