--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -83,6 +83,7 @@
     out.process = ::fork();
     if (out.process == 0)
     {
+        end_with_parent();
         ::fcntl(out.socket.file, F_SETFD, 0);
         const std::string file = std::to_string(out.socket.file);
         ::execl("/proc/self/exe", "case", "server", file.c_str(),
@@ -160,11 +161,11 @@
 {
     const bool trouble = has_trouble();
     record_file& record = *new record_file(folder + "/record.txt");
-    temporary_folder files;
     // Kept until the process ends: its threads serve calls until then.
     store& platform = *new store(ip);
     platform.put("config", "main", desired_state());
-    vm entry(files.path(), "front-north-1", ip, "north", platform.address());
+    vm entry(
+        temporary_folder(), "front-north-1", ip, "north", platform.address());
     entry.start();
     if (!entry.wait_ready(15s))
     {
--- a/review/common-2/harness.hpp
+++ b/review/common-2/harness.hpp
@@ -8,6 +8,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -49,8 +50,16 @@
 [[noreturn]] inline void
 give_up(const std::string& reason)
 {
-    std::cerr << "could not run: " << reason << "\n";
-    std::exit(static_cast<int>(verdict::could_not_run));
+    std::cerr << "could not run: " << reason << std::endl;
+    // Threads of the stand-ins may run; child processes end with this one.
+    std::_Exit(static_cast<int>(verdict::could_not_run));
+}
+
+/// Called in a child process: it ends when the case ends, however that is.
+inline void
+end_with_parent()
+{
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
 }
 
 inline bool
@@ -692,6 +701,7 @@
         process_ = ::fork();
         if (process_ == 0)
         {
+            end_with_parent();
             const int log =
                 ::open(output_.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
             ::dup2(log, STDOUT_FILENO);
@@ -820,36 +830,16 @@
     pid_t process_ = -1;
 };
 
-/// A temporary folder, removed at the end.
-class temporary_folder
+/// Returns the temporary folder that run_case.sh makes and removes.
+inline std::string
+temporary_folder()
 {
-public:
-    temporary_folder()
+    const char* path = std::getenv("REVIEW_FOLDER");
+    if (path == nullptr)
     {
-        char name[] = "/tmp/bramleymux-review-XXXXXX";
-        if (::mkdtemp(name) == nullptr)
-        {
-            give_up("no temporary folder");
-        }
-        path_ = name;
+        give_up("start the case by its run.sh");
     }
-
-    ~temporary_folder()
-    {
-        if (std::getenv("KEEP") == nullptr)
-        {
-            static_cast<void>(!std::system(("rm -rf " + path_).c_str()));
-        }
-    }
-
-    const std::string&
-    path() const
-    {
-        return path_;
-    }
-
-private:
-    std::string path_;
-};
+    return path;
+}
 
 } // namespace review
