Answer 502 to a read with too little coverage that has run

What callers saw: bramleymuxd answered 503 with run: run to a read whose answered shards were below the minimum. 503 promises "not run". Cause: a problem had one status for all run states. Change: make_problem takes the status from status_of, as the entry path does; such a read gets 502, with the same document.

--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -125,6 +125,8 @@
         return "Content Too Large";
     case 422:
         return "Unprocessable Content";
+    case 502:
+        return "Bad Gateway";
     case 503:
         return "Service Unavailable";
     case 504:
--- a/src/problem.cpp
+++ b/src/problem.cpp
@@ -79,10 +79,10 @@
 make_problem(
     problem_code code, run_state run, const std::string& detail, json extra)
 {
-    const problem_info& info = info_of(code);
+    const int status = status_of(code, run);
     extra["type"] = "about:blank";
-    extra["title"] = info.title;
-    extra["status"] = info.status;
+    extra["title"] = info_of(code).title;
+    extra["status"] = status;
     extra["code"] = problem_code_names[static_cast<std::size_t>(code)];
     extra["run"] = to_string(run);
     if (!detail.empty())
@@ -90,9 +90,9 @@
         extra["detail"] = detail;
     }
     server_response response;
-    response.status = info.status;
+    response.status = status;
     response.content_type = "application/problem+json";
-    if (info.status == service_unavailable && run == run_state::not_run)
+    if (status == service_unavailable && run == run_state::not_run)
     {
         response.headers.emplace_back("Retry-After", retry_after_seconds);
     }
