--- a/src/query_read.cpp
+++ b/src/query_read.cpp
@@ -85,7 +85,7 @@
     bool
     query_pinned_snapshot();
     /// Loads the published state and pins a snapshot. Returns false, with the
-    /// problem set, if there is none.
+    /// problem set, if there is none. Targets may have run the query before.
     bool
     prepare();
     /// Sends the batches of a plan to targets that are not in `tried`.
@@ -130,6 +130,9 @@
     is_awaiting_coverage() const;
     double
     required_coverage() const;
+    /// What targets did with the query, also on abandoned snapshots.
+    run_state
+    run_so_far() const;
     query_result
     finish();
 
@@ -156,6 +159,7 @@
     {
         if (!prepare())
         {
+            result_.run = run_so_far();
             return result_;
         }
         const bool may_restart = restart < config::max_snapshot_restarts;
@@ -549,6 +553,13 @@
            required_coverage() * static_cast<double>(current.asked);
 }
 
+run_state
+read_query::run_so_far() const
+{
+    return any_executed_ || any_outcome_unknown_ ? run_state::unknown
+                                                 : run_state::not_run;
+}
+
 query_result
 read_query::finish()
 {
@@ -564,14 +575,7 @@
     const double answered = static_cast<double>(result_.covered.answered);
     context_.counters.add(counter::shards_asked, result_.covered.asked);
     context_.counters.add(counter::shards_answered, result_.covered.answered);
-    if (result_.covered.answered > 0)
-    {
-        result_.run = run_state::run;
-    }
-    else if (any_executed_ || any_outcome_unknown_)
-    {
-        result_.run = run_state::unknown;
-    }
+    result_.run = result_.covered.answered > 0 ? run_state::run : run_so_far();
     if (answered < required_coverage() * asked)
     {
         result_.problem = problem_code::coverage_below_minimum;
--- a/tests/query_fixture.hpp
+++ b/tests/query_fixture.hpp
@@ -45,9 +45,14 @@
     void
     cancel(std::uint64_t) override
     {
+        if (on_cancel)
+        {
+            on_cancel();
+        }
     }
 
     std::deque<sub_request> submitted;
+    std::function<void()> on_cancel;
 
 private:
     responder respond_;
@@ -145,19 +150,20 @@
             2);
     }
 
-    /// Publishes a report of snapshot 5 for each target, with the shard ranges
-    /// that `held` returns for it, and marks all targets as reachable and
-    /// owned.
+    /// Publishes a report of one snapshot for each target, with the shard
+    /// ranges that `held` returns for it, and marks all targets as reachable
+    /// and owned.
     template <class Held>
     void
-    publish_reports(Held held, std::uint32_t shard_count)
+    publish_reports(
+        Held held, std::uint32_t shard_count, std::uint64_t snapshot = 5)
     {
         std::vector<target_report> reports;
         for (const catalog_target& row : topology->targets)
         {
             target_report r;
             r.reachable = true;
-            r.snapshots = {{5, shard_count, held(row)}};
+            r.snapshots = {{snapshot, shard_count, held(row)}};
             reports.push_back(r);
         }
         board.routes.set(build_routing_index(*topology, reports));
--- a/tests/test_query.cpp
+++ b/tests/test_query.cpp
@@ -54,6 +54,43 @@
     }
 }
 
+// Guards against a refusal that says "not run" after a restart on another
+// snapshot, although a target runs the query on the abandoned one.
+TEST_CASE(
+    "a read that finds no other snapshot does not deny its run", "[query]")
+{
+    query_fixture* published = nullptr;
+    query_fixture f(
+        [&](const sub_request& r) -> std::optional<sub_reply>
+        {
+            if (r.target_name == "a-v1")
+            {
+                published->publish_reports(
+                    [](const catalog_target&) {
+                        return std::vector<shard_range>{{0, 1}};
+                    },
+                    2, 6);
+                return failed_reply(miss_reason::snapshot, run_state::not_run);
+            }
+            return std::nullopt; // runs it
+        });
+    published = &f;
+    f.use_versions(0.0, false);
+    f.publish_reports(
+        [](const catalog_target& t)
+        {
+            const std::uint32_t shard = t.name.front() == 'a' ? 0 : 1;
+            return std::vector<shard_range>{{shard, shard}};
+        },
+        2);
+    f.sink.on_cancel = [&]
+    { f.board.routes.set(build_routing_index(*f.topology, {})); };
+    const query_result result = run_read(f.context, f.request("read"));
+    CHECK(f.sink.submitted.size() == 2);
+    CHECK(result.problem == problem_code::no_snapshot);
+    CHECK(result.run == run_state::unknown);
+}
+
 // Guards against an answer that mixes rows of several snapshots.
 TEST_CASE("a reply of another snapshot is not merged", "[query]")
 {
