Answer 504 to an edit whose outcome is unknown

What operators saw: 503 for an edit that was sent and may be written. 503 promises that nothing was. Cause: every outcome that is no success or rejection had the status 503. Change: 504 for an unknown outcome; the body is as it was, and the operators' command line reads the body. Measured: the check in test_table_edit.cpp passes; the old mapping, which no test covered, returned 503 by reading.

--- a/src/admin_server.cpp
+++ b/src/admin_server.cpp
@@ -79,22 +79,6 @@
         {"unreachable", t.unreachable}};
 }
 
-int
-status_of(edit_outcome outcome)
-{
-    switch (outcome)
-    {
-    case edit_outcome::accepted:
-        return 200;
-    case edit_outcome::rejected_invalid:
-        return 400;
-    case edit_outcome::rejected_conflict:
-        return 409;
-    default:
-        return 503;
-    }
-}
-
 std::int64_t
 unix_ms()
 {
@@ -275,7 +259,7 @@
                     edit_retry_base, edit_retry_cap, query_random()));
         });
     server_response response = json_response(to_json(result));
-    response.status = status_of(result.outcome);
+    response.status = http_status_of(result.outcome);
     return response;
 }
 
@@ -308,7 +292,7 @@
 {
     const edit_result result = read_edit_outcome(parts_.platform, id);
     server_response response = json_response(to_json(result));
-    response.status = status_of(result.outcome);
+    response.status = http_status_of(result.outcome);
     return response;
 }
 
--- a/src/table_edit.hpp
+++ b/src/table_edit.hpp
@@ -98,6 +98,11 @@
 nlohmann::json
 to_json(const edit_result& result);
 
+/// Returns the status of the reply that reports the outcome. An unknown one is
+/// no 503, which would promise that nothing was written.
+int
+http_status_of(edit_outcome outcome);
+
 /// Applies the changes to a stored table and validates the result, which must
 /// not be used if there is any finding. Does not add the edit's record.
 table
--- a/src/table_edit_json.cpp
+++ b/src/table_edit_json.cpp
@@ -168,6 +168,24 @@
     return edit;
 }
 
+int
+http_status_of(edit_outcome outcome)
+{
+    switch (outcome)
+    {
+    case edit_outcome::accepted:
+        return 200;
+    case edit_outcome::rejected_invalid:
+        return 400;
+    case edit_outcome::rejected_conflict:
+        return 409;
+    case edit_outcome::unknown:
+        return 504;
+    default:
+        return 503;
+    }
+}
+
 nlohmann::json
 to_json(const edit_result& result)
 {
--- a/tests/test_table_edit.cpp
+++ b/tests/test_table_edit.cpp
@@ -174,6 +174,9 @@
         platform.down_after_loss = true;
         const edit_result r = submit_edit(platform, e);
         CHECK(r.outcome == edit_outcome::unknown);
+        // 503 would promise an author that nothing was written.
+        CHECK(http_status_of(r.outcome) == 504);
+        CHECK(http_status_of(edit_outcome::not_accepted_platform) == 503);
         CHECK(r.edit_id == "e");
         CHECK(r.reason.find("ask again with edit id e") != std::string::npos);
         platform.down = false;
