Do not take the end of a reset stream for an orderly one

Cause: Linux reports a socket's error once. While a link still writes, the write's handler runs first and takes ECONNRESET; the read that is due as well then finds an end of stream, as after an orderly end. Change: a link remembers that a write failed. After ECONNRESET an end of stream is not orderly; after EPIPE, which the kernel gives if the target's end arrived before its reset, it is. What has arrived is still read, and the connection is not used again. Why it works: the error that the read would have got decides, whichever call gets it; an orderly end is complete as before.

--- a/src/target_link.cpp
+++ b/src/target_link.cpp
@@ -111,9 +111,7 @@
         error);
     if (error && error != asio::error::would_block)
     {
-        // Posted, since the caller does not expect a result from within a send.
-        asio::post(socket_.get_executor(),
-            [self = shared_from_this()] { self->close(); });
+        on_write_failed(error);
         return;
     }
     writing_ = written_ < output_.size();
@@ -136,6 +134,43 @@
     }
 }
 
+/// The target may have replied before the connection failed, so what has
+/// arrived is still read. The kernel reports an error once: a later read finds
+/// an end of stream, whether or not the target sent one. Linux gives EPIPE to
+/// the first write after a reset only if the target's end of stream arrived
+/// before the reset.
+void
+target_link::on_write_failed(error_code error)
+{
+    write_failed_ = true;
+    torn_ = error != asio::error::broken_pipe;
+    writing_ = false;
+    std::string().swap(output_);
+    written_ = 0;
+    update_charges();
+    // Posted, since the caller does not expect a result from within a send.
+    asio::post(socket_.get_executor(),
+        [self = shared_from_this()] { self->close_if_drained(); });
+}
+
+/// Closes the connection after a failed write unless the pending read finds
+/// bytes or the end of the stream.
+void
+target_link::close_if_drained()
+{
+    if (state_ != link_state::busy)
+    {
+        return;
+    }
+    char next = 0;
+    error_code error;
+    socket_.receive(asio::buffer(&next, 1), tcp::socket::message_peek, error);
+    if (error && error != asio::error::eof)
+    {
+        close();
+    }
+}
+
 void
 target_link::read()
 {
@@ -280,7 +315,8 @@
 void
 target_link::on_end(bool at_eof)
 {
-    if (state_ == link_state::busy && at_eof &&
+    const bool is_orderly = at_eof && !torn_;
+    if (state_ == link_state::busy && is_orderly &&
         reader_.end_of_stream() == read_result::complete)
     {
         accept_reply(reader_.take());
@@ -296,7 +332,8 @@
     const int faulty_status =
         outcome == link_outcome::faulty ? reader_.status() : 0;
     const bool reusable = outcome == link_outcome::reply && reply.keep_alive &&
-                          !tainted_ && !writing_ && input_.empty();
+                          !tainted_ && !writing_ && !write_failed_ &&
+                          input_.empty();
     if (reply.idle_limit)
     {
         idle_limit_ = std::min<duration>(config::max_idle_connection_time,
--- a/src/target_link.hpp
+++ b/src/target_link.hpp
@@ -121,6 +121,10 @@
     void
     write();
     void
+    on_write_failed(boost::system::error_code error);
+    void
+    close_if_drained();
+    void
     on_bytes();
     void
     on_end(bool at_eof);
@@ -146,6 +150,8 @@
     std::string output_;
     std::size_t written_ = 0;
     bool writing_ = false;
+    bool write_failed_ = false; ///< the rest of the request cannot be sent
+    bool torn_ = false;         ///< ended by an error that a write has consumed
     bool paused_ = false;
     bool tainted_ = false;    ///< received a reply to another request
     bool echoes_ids_ = false; ///< an earlier reply carried its request's id
--- a/tests/entry_fixture.hpp
+++ b/tests/entry_fixture.hpp
@@ -49,6 +49,15 @@
         boost::asio::write(socket_, boost::asio::buffer(bytes));
     }
 
+    /// Sends more than the kernel takes at once, while the loop runs.
+    void
+    send_async(std::string bytes)
+    {
+        const auto kept = std::make_shared<std::string>(std::move(bytes));
+        boost::asio::async_write(socket_, boost::asio::buffer(*kept),
+            [kept](boost::system::error_code, std::size_t) {});
+    }
+
     void
     close()
     {
--- a/tests/manual_target.hpp
+++ b/tests/manual_target.hpp
@@ -72,6 +72,12 @@
         connections_.at(connection)->close();
     }
 
+    void
+    shut_down_sending(std::size_t connection)
+    {
+        connections_.at(connection)->shutdown(tcp::socket::shutdown_send);
+    }
+
     void
     reset(std::size_t connection)
     {
@@ -79,6 +85,13 @@
         close(connection);
     }
 
+    /// Refuses further connections.
+    void
+    stop_accepting()
+    {
+        acceptor_.close();
+    }
+
     std::size_t
     connections() const
     {
--- a/tests/stand_in_target.hpp
+++ b/tests/stand_in_target.hpp
@@ -133,7 +133,7 @@
                         return;
                     }
                     self->input.append(self->buffer.data(), n);
-                    while (self->reader.read(self->input, {65536, 1 << 20}) ==
+                    while (self->reader.read(self->input, {65536, 1 << 26}) ==
                            read_result::complete)
                     {
                         self->serve(self->reader.take());
