Notice a caller's reset at the write of an interim reply

What a caller saw: nothing, it was gone; a target ran its request. Cause: the write of "100 Continue" ignored its error. If the reset of the connection had arrived by then, the write took the error, the rest of the request was read as if the caller still waited, and it was sent on. Change: send_continue() closes the connection at any error but a full buffer, and when the interim reply was written in part. Measured: "a caller that resets before its interim reply is gone" failed with the old source and passes.

--- a/src/caller_connection.cpp
+++ b/src/caller_connection.cpp
@@ -174,13 +174,7 @@
     case read_result::need_more:
         if (reader_.expects_continue() && !continue_sent_)
         {
-            continue_sent_ = true;
-            constexpr std::string_view continue_response =
-                "HTTP/1.1 100 Continue\r\n\r\n";
-            error_code ignored;
-            socket_.write_some(asio::buffer(continue_response.data(),
-                                   continue_response.size()),
-                ignored);
+            send_continue();
         }
         return;
     case read_result::complete:
@@ -208,6 +202,26 @@
     }
 }
 
+/// Without room for the interim reply the caller sends its body after a wait of
+/// its own. The kernel reports the error of a connection once, so a failure
+/// here is the only sign that the caller is gone: what it has sent would be
+/// read as if it still waited.
+void
+caller_connection::send_continue()
+{
+    continue_sent_ = true;
+    constexpr std::string_view interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    error_code error;
+    const std::size_t n =
+        socket_.write_some(asio::buffer(interim.data(), interim.size()), error);
+    const bool failed = error && error != asio::error::would_block;
+    const bool is_cut = n > 0 && n < interim.size();
+    if (failed || is_cut)
+    {
+        close(close_cause::caller_closed);
+    }
+}
+
 void
 caller_connection::refuse(input_fault fault)
 {
--- a/src/caller_connection.hpp
+++ b/src/caller_connection.hpp
@@ -192,6 +192,8 @@
     void
     on_written();
     void
+    send_continue();
+    void
     refuse(input_fault fault);
     bool
     is_receiving_late(monotonic_time now) const;
--- a/tests/test_reset_streams.cpp
+++ b/tests/test_reset_streams.cpp
@@ -231,3 +231,37 @@
             CHECK(!reply->unsent);
         });
 }
+
+// Guards against a request that is sent on for a caller whose reset was noticed
+// only by the write of an interim reply.
+TEST_CASE(
+    "a caller that resets before its interim reply is gone", "[entry][reset]")
+{
+    entry_vm vm;
+    stand_in_target target(vm.loop, "t",
+        [](const parsed_request& r) { return good(r, "p", "done"); });
+    vm.pool.put(target.record("s", "north"));
+    vm.adopt(1, {entry_vm::make_route("q", {"s"}, false, false)});
+    tcp::socket caller(vm.loop);
+    const std::string address = vm.caller_address();
+    caller.connect({boost::asio::ip::address_v4::loopback(),
+        static_cast<std::uint16_t>(
+            std::stoi(address.substr(address.rfind(':') + 1)))});
+    test_caller runner(vm.loop, address);
+    vm.loop.run_for(20ms);
+    // The VM's first read ends within the body.
+    const std::string body(body_bytes, 'b');
+    boost::asio::write(caller,
+        boost::asio::buffer(
+            "POST /q/1 HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r1\r\n"
+            "X-Deadline-Ms: 4000\r\nExpect: 100-continue\r\nContent-Length: " +
+            std::to_string(body.size()) + "\r\n\r\n" + body));
+    caller.set_option(tcp::socket::linger(true, 0));
+    caller.close();
+    runner.send(get("/q/1", "r2"));
+    CHECK(runner.reply().body == "done");
+    vm.loop.run_for(20ms);
+    REQUIRE(target.received.size() == 1);
+    CHECK(header_value(target.received.front(), "X-Request-Id") == "r2");
+    CHECK(vm.counters.read()[counter::requests] == 1);
+}
