Let the soak's targets deny runs, cut answers and gather

Cause: the oracle judged refusals of requests that ran, and bodies, from the start, but no target of the soak failed a request that it had run, and none ended an answer early. Targets take little at once and answer most long requests early. Conducts have a generator of their own, so seeds keep their schedules.

--- a/tests/soak/attempt.hpp
+++ b/tests/soak/attempt.hpp
@@ -37,15 +37,13 @@
     /// read all that was sent.
     bool reset = false;
     int status = 0;
-    bool own_body = false; ///< the body is the one that belongs to `id`
+    /// The body is the one that belongs to `id`, or to the parts that a
+    /// gathered answer names.
+    bool own_body = false;
 };
 
 /// Returns the text of the key with this number.
 std::string
 key_text(std::size_t key);
 
-/// Returns the only body that a target sends to the request `id`.
-std::string
-body_of(std::uint64_t id);
-
 } // namespace bramleymux::soak
--- a/tests/soak/caller.cpp
+++ b/tests/soak/caller.cpp
@@ -1,5 +1,6 @@
 #include "caller.hpp"
 
+#include "answers.hpp"
 #include "http_codec.hpp"
 
 #include <boost/asio/write.hpp>
@@ -24,6 +25,8 @@
 constexpr std::uint64_t new_connection_share = 8;
 constexpr std::uint64_t post_share = 30;
 constexpr std::uint64_t changing_route_share = 6;
+constexpr std::uint64_t gathered_share = 10;
+constexpr std::uint64_t long_body_share = 10; // of POST and gathered requests
 constexpr std::uint64_t split_write_share = 30;
 constexpr std::uint64_t long_idle_share = 15;
 
@@ -31,6 +34,8 @@
 constexpr std::uint64_t longest_pause_ms = 60;
 constexpr std::uint64_t longest_body_gap_us = 3000;
 constexpr std::uint64_t longest_body_bytes = 1500;
+// More than the kernel takes at once for a target that does not read.
+constexpr std::size_t long_body_bytes = 262000;
 constexpr auto time_limit = 4s;
 // Beyond the time limit plus all stops of a VM that can fall into it.
 constexpr auto patience = 10s;
@@ -63,13 +68,6 @@
 
 } // namespace
 
-std::string
-body_of(std::uint64_t id)
-{
-    constexpr std::uint64_t sizes = 1999;
-    return "id=" + std::to_string(id) + ";" + std::string(id % sizes, '.');
-}
-
 std::string
 key_text(std::size_t key)
 {
@@ -205,10 +203,15 @@
 caller::choose_request()
 {
     const bool changing = random(1, percent) <= changing_route_share;
-    attempt_.idempotent = changing || random(1, percent) > post_share;
+    gathered_ = !changing && random(1, percent) <= gathered_share;
+    attempt_.idempotent =
+        changing || gathered_ || random(1, percent) > post_share;
     attempt_.permanent_route = !changing;
-    method_ = attempt_.idempotent ? "GET" : "POST";
     path_ = attempt_.idempotent ? "/r/" : "/w/";
+    if (gathered_)
+    {
+        path_ = "/g/";
+    }
     if (changing)
     {
         path_ = "/x" + std::to_string(random(0, changing_routes - 1)) + "/";
@@ -216,6 +219,12 @@
     body_ = attempt_.idempotent
                 ? std::string()
                 : std::string(random(1, longest_body_bytes), 'b');
+    if ((gathered_ || !attempt_.idempotent) &&
+        random(1, percent) <= long_body_share)
+    {
+        body_.assign(long_body_bytes, 'b');
+    }
+    method_ = body_.empty() ? "GET" : "POST";
 }
 
 std::string
@@ -240,7 +249,11 @@
 {
     choose_request();
     attempt_.id = world_.next_id();
-    attempt_.key = world_.choose_key ? world_.choose_key(random_) : 0;
+    // A VM may refuse a wrong key before it has read a long body, and the close
+    // that follows may overtake its answer.
+    attempt_.key = world_.choose_key && body_.size() != long_body_bytes
+                       ? world_.choose_key(random_)
+                       : 0;
     attempt_.reused_connection = connection_->used;
     attempt_.sent_at = monotonic_clock::now();
     attempt_.reset = false;
@@ -248,7 +261,9 @@
     attempt_.own_body = false;
     connection_->used = true;
     connection_->received = false;
-    const bool split = random(1, percent) <= split_write_share;
+    // A write of a long body must not wait for a VM that is stopped.
+    const bool split = body_.size() == long_body_bytes ||
+                       random(1, percent) <= split_write_share;
     if (!write(split ? head() : head() + body_))
     {
         // Nothing was sent: the connection had ended before.
@@ -287,7 +302,9 @@
             if (c == connection_ && !c->ended)
             {
                 // The read in progress reports a connection that has ended.
-                static_cast<void>(write(bytes));
+                const auto kept = std::make_shared<std::string>(bytes);
+                asio::async_write(c->socket, asio::buffer(*kept),
+                    [c, kept](error_code, std::size_t) {});
             }
         });
 }
@@ -338,7 +355,11 @@
     }
     const http_reply reply = connection_->reader.take();
     attempt_.status = reply.status;
-    attempt_.own_body = reply.body == body_of(attempt_.id);
+    const std::string* stamps = find_field(reply.fields, "X-Part-Stamps");
+    attempt_.own_body =
+        gathered_ ? is_merged_answer(attempt_.id,
+                        stamps == nullptr ? std::string() : *stamps, reply.body)
+                  : reply.body == body_of(attempt_.id);
     if (!connection_->input.empty())
     {
         finish(attempt_end::extra_bytes);
--- a/tests/soak/caller.hpp
+++ b/tests/soak/caller.hpp
@@ -96,6 +96,7 @@
     std::string method_;
     std::string path_;
     std::string body_;
+    bool gathered_ = false;
     bool open_ = false; ///< a request is in progress
     bool stopping_ = false;
     bool stopped_ = false;
--- a/tests/soak/deployment.cpp
+++ b/tests/soak/deployment.cpp
@@ -1,5 +1,6 @@
 #include "deployment.hpp"
 
+#include "answers.hpp"
 #include "attempt.hpp"
 
 #include <algorithm>
@@ -16,6 +17,7 @@
 
 constexpr const char* read_service = "reader";
 constexpr const char* write_service = "writer";
+constexpr const char* part_service = "part-"; // with the shard's number
 constexpr const char* health_path = "/health";
 constexpr std::size_t changing_routes = 4;
 constexpr std::uint64_t slots = 32;
@@ -39,6 +41,21 @@
         {"priority", 0}};
 }
 
+json
+gathered_route(const std::string& prefix, std::uint64_t timeout_ms)
+{
+    constexpr std::uint64_t result_limit = 1000; // more than all parts hold
+    json out = route(prefix, true, "", timeout_ms);
+    out.erase("service");
+    out["resultLimit"] = result_limit;
+    out["minCoverage"] = 1.0 / static_cast<double>(shard_count);
+    for (std::size_t i = 0; i < shard_count; ++i)
+    {
+        out["shards"].push_back(part_service + std::to_string(i));
+    }
+    return out;
+}
+
 json
 service(const std::string& name)
 {
@@ -52,7 +69,13 @@
     std::uint64_t version, const state_choice& state, std::size_t newest_key)
 {
     json routes{route("/r/", true, read_service, state.route_timeout_ms),
-        route("/w/", false, write_service, state.route_timeout_ms)};
+        route("/w/", false, write_service, state.route_timeout_ms),
+        gathered_route("/g/", state.route_timeout_ms)};
+    json services{service(read_service), service(write_service)};
+    for (std::size_t i = 0; i < shard_count; ++i)
+    {
+        services.push_back(service(part_service + std::to_string(i)));
+    }
     for (std::size_t i = 0; i < changing_routes; ++i)
     {
         if ((state.routes >> i & 1U) != 0)
@@ -62,10 +85,10 @@
         }
     }
     return {{"version", version}, {"routes", std::move(routes)},
-        {"services", {service(read_service), service(write_service)}},
+        {"services", std::move(services)},
         {"tenants", {{{"name", "soak"},
                         {"apiKeys", {key_text(0), key_text(newest_key)}}}}},
-        {"limits", {{"maxHeaderBytes", 8192}, {"maxBodyBytes", 65536},
+        {"limits", {{"maxHeaderBytes", 8192}, {"maxBodyBytes", 262144},
                        {"headerTimeoutMs", 2000},
                        {"idleTimeoutMs", state.idle_timeout_ms}}}};
 }
@@ -74,8 +97,14 @@
 
 deployment::deployment(boost::asio::io_context& loop, std::uint64_t seed,
     const std::vector<std::string>& zones, std::size_t vms)
-    : store(loop, vms), random_(seed)
+    : store(loop, vms), random_(seed), conducts_(seed)
 {
+    // Each shard in one zone, so that a VM of the other asks a VM there.
+    for (std::size_t i = 0; i < shard_count; ++i)
+    {
+        add_target(
+            loop, part_service + std::to_string(i), zones[i % zones.size()]);
+    }
     for (const std::string& zone : zones)
     {
         add_target(loop, read_service, zone);
@@ -131,13 +160,18 @@
 deployment::add_target(boost::asio::io_context& loop,
     const std::string& service, const std::string& zone)
 {
-    const std::string id = "i-" + std::to_string(targets_.size());
-    targets_.push_back(std::make_unique<fixture::stand_in_target>(loop, id,
-        [this, id, n = targets_.size()](const parsed_request& request)
+    const std::size_t n = targets_.size();
+    targets_.push_back(std::make_unique<fixture::stand_in_target>(loop,
+        "i-" + std::to_string(n),
+        [this, n](const parsed_request& request)
         {
             targets_[n]->received.clear();
-            return serve(id, request);
+            return serve(n, request);
         }));
+    constexpr int window_bytes = 16384;
+    targets_.back()->narrow_window(window_bytes);
+    targets_.back()->set_early_script(
+        [this, n](const std::string& bytes) { return serve_early(n, bytes); });
     specs_.push_back({{"service", service},
         {"address", targets_.back()->address()}, {"zone", zone},
         {"version", "v1"}, {"slots", slots}, {"state", "ready"},
@@ -232,30 +266,62 @@
 }
 
 fixture::scripted_reply
-deployment::serve(const std::string& target, const parsed_request& request)
+deployment::serve(std::size_t target, const parsed_request& request)
 {
     if (request.path == health_path)
     {
-        return {
-            fixture::http_text(200, "X-Instance-Id: " + target + "\r\n", "")};
+        return {fixture::http_text(
+            200, "X-Instance-Id: i-" + std::to_string(target) + "\r\n", "")};
     }
     const std::uint64_t id = std::strtoull(
         fixture::header_value(request, "X-Request-Id").c_str(), nullptr, 10);
-    ++runs_[id];
+    auto reply = reply_to(id, target, conducts_.next());
+    reply.wait =
+        std::chrono::milliseconds(std::uniform_int_distribution<std::uint64_t>(
+            1, longest_reply_ms)(random_));
+    return reply;
+}
+
+/// Replies to some long requests before their bodies have arrived.
+std::optional<fixture::scripted_reply>
+deployment::serve_early(std::size_t target, const std::string& bytes)
+{
+    const std::string id_field = "X-Request-Id: ";
+    const std::size_t at = bytes.find(id_field);
+    const std::size_t length = bytes.find("Content-Length: 262");
+    const bool is_long = at != std::string::npos && length != std::string::npos;
+    const auto chosen = is_long ? conducts_.next_early() : std::nullopt;
+    if (!chosen)
+    {
+        return std::nullopt;
+    }
+    const std::uint64_t id =
+        std::strtoull(bytes.c_str() + at + id_field.size(), nullptr, 10);
+    return reply_to(id, target, *chosen);
+}
+
+/// Counts the arrival of the request and returns the reply to it.
+fixture::scripted_reply
+deployment::reply_to(
+    std::uint64_t id, std::size_t target, const conduct& chosen)
+{
+    runs_[id] += chosen.runs ? 1 : 0;
     const monotonic_time now = monotonic_clock::now();
-    const bool left = target == "i-" + std::to_string(targets_.size() - 1) &&
+    const bool left = target == targets_.size() - 1 &&
                       left_at_ != monotonic_time::max() &&
                       now > left_at_ + leave_bound + longest_transit;
     if (left)
     {
         late_arrivals_.emplace(id, late_arrival{now, announced_});
     }
-    auto reply =
-        fixture::good(request, target + "." + std::to_string(id), body_of(id));
-    reply.wait =
-        std::chrono::milliseconds(std::uniform_int_distribution<std::uint64_t>(
-            1, longest_reply_ms)(random_));
-    return reply;
+    const bool is_part = target < shard_count;
+    const std::string stamp =
+        is_part ? stamp_of_part(target, id)
+                : "i-" + std::to_string(target) + "." + std::to_string(id);
+    return reply_of(chosen,
+        "X-Request-Id: " + std::to_string(id) +
+            "\r\nX-Response-Stamp: " + stamp + "\r\n",
+        is_part ? part_of(target, id) : body_of(id));
 }
 
 std::uint32_t
--- a/tests/soak/deployment.hpp
+++ b/tests/soak/deployment.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "conduct.hpp"
 #include "schedule.hpp"
 #include "stand_in_target.hpp"
 #include "store.hpp"
@@ -85,9 +86,14 @@
     void
     register_target(std::size_t target);
     fixture::scripted_reply
-    serve(const std::string& target, const parsed_request& request);
+    serve(std::size_t target, const parsed_request& request);
+    std::optional<fixture::scripted_reply>
+    serve_early(std::size_t target, const std::string& bytes);
+    fixture::scripted_reply
+    reply_to(std::uint64_t id, std::size_t target, const conduct& chosen);
 
     std::mt19937_64 random_;
+    conduct_source conducts_;
     state_choice state_;
     std::uint64_t version_ = 0;
     /// When the keys from 1 on were revoked. The key after them is the newest.
--- a/tests/stand_in_target.hpp
+++ b/tests/stand_in_target.hpp
@@ -13,6 +13,8 @@
 #include <array>
 #include <functional>
 #include <memory>
+#include <netinet/tcp.h>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -76,6 +78,9 @@
 {
 public:
     using script = std::function<scripted_reply(const parsed_request&)>;
+    /// Takes the bytes that have arrived of a request, its head included.
+    using early_script =
+        std::function<std::optional<scripted_reply>(const std::string&)>;
 
     stand_in_target(boost::asio::io_context& loop, std::string id, script s)
         : loop_(loop), id_(std::move(id)), script_(std::move(s)),
@@ -108,6 +113,26 @@
         script_ = std::move(s);
     }
 
+    /// `s` may reply to a request whose body has not arrived yet. The target
+    /// then reads nothing more of that connection.
+    void
+    set_early_script(early_script s)
+    {
+        early_script_ = std::move(s);
+    }
+
+    /// Sets what the kernel takes of requests that are not read; connections
+    /// accepted from now on are like those of a network.
+    void
+    narrow_window(int receive_buffer_bytes)
+    {
+        constexpr int segment_bytes = 1460;
+        acceptor_.set_option(boost::asio::socket_base::receive_buffer_size(
+            receive_buffer_bytes));
+        ::setsockopt(acceptor_.native_handle(), IPPROTO_TCP, TCP_MAXSEG,
+            &segment_bytes, sizeof segment_bytes);
+    }
+
     std::vector<parsed_request> received;
     std::size_t connections = 0;
     std::size_t closed_by_peer = 0; ///< connections
@@ -133,6 +158,10 @@
                         return;
                     }
                     self->input.append(self->buffer.data(), n);
+                    if (self->replies_early())
+                    {
+                        return;
+                    }
                     while (self->reader.read(self->input, {65536, 1 << 26}) ==
                            read_result::complete)
                     {
@@ -142,9 +171,28 @@
                 });
         }
 
+        /// Asks the early script once for each request.
+        bool
+        replies_early()
+        {
+            if (!owner.early_script_ || was_asked ||
+                input.find("\r\n\r\n") == std::string::npos)
+            {
+                return false;
+            }
+            was_asked = true;
+            const auto reply = owner.early_script_(input);
+            if (reply)
+            {
+                write(*reply);
+            }
+            return reply.has_value();
+        }
+
         void
         serve(parsed_request&& request)
         {
+            was_asked = false;
             owner.received.push_back(request);
             const scripted_reply reply = owner.script_(request);
             if (reply.silent)
@@ -186,6 +234,7 @@
         std::array<char, 4096> buffer{};
         std::string input;
         request_reader reader;
+        bool was_asked = false; ///< the early script
     };
 
     void
@@ -206,6 +255,7 @@
     boost::asio::io_context& loop_;
     std::string id_;
     script script_;
+    early_script early_script_;
     tcp::acceptor acceptor_;
 };
 
--- a/tests/test_soak_oracle.cpp
+++ b/tests/test_soak_oracle.cpp
@@ -1,4 +1,6 @@
+#include "answers.hpp"
 #include "caller.hpp"
+#include "conduct.hpp"
 #include "oracle.hpp"
 #include "raw_server.hpp"
 #include "stand_in_target.hpp"
@@ -135,6 +137,102 @@
     CHECK(!soak::judge(refused, after_runs(1)).fault.empty());
 }
 
+// Guards against an oracle that accepts a promise of "not run" for a request
+// that a target ran (docs/incidents/denied-run.md).
+TEST_CASE("the soak reports each status that denies a run", "[soak]")
+{
+    soak::attempt a;
+    a.end = soak::attempt_end::answered;
+    for (const int status : {408, 421, 429, 503})
+    {
+        CAPTURE(status);
+        a.status = status;
+        CHECK(soak::judge(a, no_run).fault.empty());
+        CHECK(!soak::judge(a, after_runs(1)).fault.empty());
+    }
+    for (const int status : {500, 502, 504})
+    {
+        CAPTURE(status);
+        a.status = status;
+        CHECK(soak::judge(a, after_runs(1)).fault.empty());
+    }
+}
+
+// Guards against an oracle that accepts a gathered answer with half a part
+// (docs/incidents/reset-answer.md).
+TEST_CASE(
+    "the soak compares gathered answers with the parts they name", "[soak]")
+{
+    using soak::is_merged_answer;
+    const auto merged = [](const std::string& parts)
+    {
+        constexpr std::size_t record_bytes = 16;
+        std::vector<std::string> records;
+        for (std::size_t at = 0; at < parts.size(); at += record_bytes)
+        {
+            records.push_back(parts.substr(at, record_bytes));
+        }
+        std::sort(records.begin(), records.end(), std::greater<>());
+        std::string out;
+        for (const std::string& r : records)
+        {
+            out += r;
+        }
+        return out;
+    };
+    const std::string both =
+        soak::stamp_of_part(0, 7) + ", " + soak::stamp_of_part(1, 7);
+    const std::string zero = soak::part_of(0, 7);
+    const std::string one = soak::part_of(1, 7);
+    CHECK(is_merged_answer(7, both, merged(zero + one)));
+    CHECK(is_merged_answer(7, soak::stamp_of_part(1, 7), merged(one)));
+    CHECK(!is_merged_answer(7, both, merged(one)));
+    CHECK(!is_merged_answer(7, both, zero + one));
+    CHECK(!is_merged_answer(7, both, merged(zero + one.substr(16))));
+    CHECK(!is_merged_answer(7, soak::stamp_of_part(1, 7), merged(zero + one)));
+    CHECK(!is_merged_answer(7, both + ", p2.7", merged(zero + one)));
+    CHECK(!is_merged_answer(7, both + ", p1.7", merged(zero + one)));
+    CHECK(!is_merged_answer(8, both, merged(zero + one)));
+    CHECK(!is_merged_answer(7, "", ""));
+}
+
+// Guards against soak targets that cut an answer where no caller can notice it,
+// or that never cut, deny or reject.
+TEST_CASE("the soak's targets cut answers so that it shows", "[soak]")
+{
+    soak::conduct_source source(1);
+    std::size_t cuts = 0;
+    std::size_t denied = 0;
+    std::size_t rejected = 0;
+    const auto check = [&](const soak::conduct& c)
+    {
+        const auto reply = soak::reply_of(c, "", soak::part_of(0, 7));
+        cuts += c.cut ? 1 : 0;
+        denied += c.runs && c.status != 200 ? 1 : 0;
+        rejected += c.runs ? 0 : 1;
+        CHECK(reply.reset_after == (c.cut || c.resets));
+        CHECK(!(reply.reset_after && reply.close_after));
+        reply_reader reader;
+        std::string bytes = reply.bytes;
+        const read_result read = reader.read(bytes, {65536, 65536}, false);
+        const bool framed = c.body_framing != soak::framing::none;
+        CHECK(
+            (read == read_result::complete) == (!c.cut && !c.resets && framed));
+    };
+    for (int i = 0; i < 10000; ++i)
+    {
+        check(source.next());
+        const auto early = source.next_early();
+        if (early)
+        {
+            check(*early);
+        }
+    }
+    CHECK(cuts > 1000);
+    CHECK(denied > 100);
+    CHECK(rejected > 100);
+}
+
 // Guards against an oracle that accepts requests to a target that has left.
 TEST_CASE("the soak reports a request to a target that had left", "[soak]")
 {
