Test replies that a reset cuts off, with TLS and without

Change: a server resets or ends its connection within a reply, in three framings, with the request read or not, with TLS or not.

--- a/tests/test_http_client.cpp
+++ b/tests/test_http_client.cpp
@@ -1,7 +1,12 @@
+#include "certificate_authority.hpp"
 #include "raw_server.hpp"
 
 #include <catch2/catch.hpp>
 
+#include <openssl/ssl.h>
+
+#include <csignal>
+
 using namespace bramleymux;
 using namespace bramleymux::test;
 using namespace std::chrono_literals;
@@ -45,6 +50,70 @@
     };
 }
 
+/// One stream of a server, with TLS or without.
+class server_stream
+{
+public:
+    server_stream(int socket, const tls_files* files)
+        : socket_(socket), context_(nullptr, SSL_CTX_free),
+          tls_(nullptr, SSL_free)
+    {
+        if (files != nullptr)
+        {
+            context_.reset(SSL_CTX_new(TLS_server_method()));
+            SSL_CTX_use_certificate_file(context_.get(),
+                files->certificate_file.c_str(), SSL_FILETYPE_PEM);
+            SSL_CTX_use_PrivateKey_file(
+                context_.get(), files->key_file.c_str(), SSL_FILETYPE_PEM);
+            tls_.reset(SSL_new(context_.get()));
+            SSL_set_fd(tls_.get(), socket_);
+            SSL_accept(tls_.get());
+        }
+    }
+
+    /// Returns the number of bytes read, 0 or less at an end.
+    int
+    read(char* to, int size)
+    {
+        return tls_ ? SSL_read(tls_.get(), to, size)
+                    : static_cast<int>(
+                          recv(socket_, to, static_cast<std::size_t>(size), 0));
+    }
+
+    void
+    write(const std::string& text)
+    {
+        if (tls_)
+        {
+            SSL_write(tls_.get(), text.data(), static_cast<int>(text.size()));
+            return;
+        }
+        write_text(socket_, text);
+    }
+
+    /// The close of the socket that follows resets the connection, or ends it
+    /// with a close notice if there is TLS.
+    void
+    end(bool reset)
+    {
+        if (reset)
+        {
+            const linger at_once{1, 0};
+            setsockopt(
+                socket_, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+        }
+        else if (tls_)
+        {
+            SSL_shutdown(tls_.get());
+        }
+    }
+
+private:
+    int socket_;
+    std::unique_ptr<SSL_CTX, decltype(&SSL_CTX_free)> context_;
+    std::unique_ptr<SSL, decltype(&SSL_free)> tls_;
+};
+
 } // namespace
 
 // Guards against a new connection for each request, and against mixing a body
@@ -343,3 +412,53 @@
         }
     }
 }
+
+// Guards against half a reply that passes for a whole one when the server ends
+// or resets the connection, while the request is still being sent or after it,
+// with TLS and without.
+TEST_CASE("a reply that a reset cuts off is an error", "[http][reset]")
+{
+    const bool with_tls = GENERATE(false, true);
+    const bool reset = GENERATE(false, true);
+    const bool early = GENERATE(false, true);
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    const std::string reply = GENERATE_COPY(head + "\r\n01234",
+        head + "Content-Length: 10\r\n\r\n01234",
+        head + "Transfer-Encoding: chunked\r\n\r\n5\r\n01234\r\n");
+    CAPTURE(with_tls, reset, early, reply);
+    // OpenSSL writes without MSG_NOSIGNAL; the programs ignore the signal, too.
+    std::signal(SIGPIPE, SIG_IGN);
+    authority issuer("http");
+    const tls_files files = issuer.issue("server");
+    std::atomic<std::size_t> received{0};
+    raw_server server(
+        [&](int socket)
+        {
+            server_stream stream(socket, with_tls ? &files : nullptr);
+            std::array<char, 4096> buffer{};
+            // Without `early`, all of the request.
+            const std::size_t wanted = early ? 1 : 100;
+            int n = 1;
+            while (received < wanted && n > 0)
+            {
+                n = stream.read(buffer.data(), static_cast<int>(buffer.size()));
+                received += static_cast<std::size_t>(std::max(0, n));
+            }
+            stream.write(reply);
+            stream.end(reset);
+        });
+    http_address address = server.address();
+    if (with_tls)
+    {
+        address.tls = http_tls{files.ca_file, "", "server"};
+    }
+    connection_pool pool(address, 1);
+    constexpr std::size_t long_body_bytes = 16 << 20;
+    const std::string body(early ? long_body_bytes : 100, 'b');
+    const auto result =
+        pool.request({"POST", "/", {}, body}, after(hang_timeout));
+    CHECK(!result);
+    CHECK(may_have_reached_server(result.error()));
+    CHECK(received > 0);
+    CHECK(pool.stats().open == 0);
+}
