Owe no service requests when a route's shares change

Cause: share_picker kept its credits as long as the number of parts stayed the same; a part that was owed a request got it under the new weights. Change: the picker restarts when a service or a weight differs. Measured: "a change of the shares leaves no service owed requests" fails with the old condition (a pick of weight 0) and passes.

--- a/src/fleet_view.cpp
+++ b/src/fleet_view.cpp
@@ -66,11 +66,18 @@
     return fields(a) == fields(b);
 }
 
+bool
+operator==(const service_share& a, const service_share& b)
+{
+    return a.service == b.service && a.weight == b.weight;
+}
+
 std::size_t
 share_picker::pick(const std::vector<service_share>& shares)
 {
-    if (credit_.size() != shares.size())
+    if (shares_ != shares)
     {
+        shares_ = shares;
         credit_.assign(shares.size(), 0.0);
     }
     double sum = 0.0;
--- a/src/fleet_view.hpp
+++ b/src/fleet_view.hpp
@@ -22,6 +22,9 @@
     double weight = 1.0; ///< relative to the other shares of the route
 };
 
+bool
+operator==(const service_share& a, const service_share& b);
+
 /// Rule for the requests to one path prefix of a host.
 struct route_rule
 {
@@ -107,11 +110,13 @@
 class share_picker
 {
 public:
-    /// Returns an index into `shares`. Restarts when their number changes.
+    /// Returns an index into `shares`. Restarts when they change: what one
+    /// division owes a service, another may not allow it.
     std::size_t
     pick(const std::vector<service_share>& shares);
 
 private:
+    std::vector<service_share> shares_;
     std::vector<double> credit_;
 };
 
--- a/tests/test_entry_decisions.cpp
+++ b/tests/test_entry_decisions.cpp
@@ -170,6 +170,43 @@
     CHECK(counts == std::array<int, 3>{70, 20, 10});
 }
 
+// Guards against a request to a service that a desired state has just set to
+// zero, or put in the place of another one, and that is owed a request from
+// before.
+TEST_CASE("a change of the shares leaves no service owed requests", "[entry]")
+{
+    const auto property = [](const std::vector<std::vector<std::uint8_t>>& all)
+    {
+        share_picker picker;
+        for (const std::vector<std::uint8_t>& weights : all)
+        {
+            constexpr std::uint8_t weight_count = 4;
+            std::vector<service_share> shares;
+            int period = 0;
+            for (const std::uint8_t w : weights)
+            {
+                shares.push_back({std::string(1, "abcd"[w / weight_count % 4]),
+                    static_cast<double>(w % weight_count)});
+                period += w % weight_count;
+            }
+            // Often ends within a period.
+            const int picks = weights.empty() ? 0 : weights.front() % 16;
+            std::vector<double> counts(shares.size(), 0.0);
+            for (int n = 1; n <= picks && period > 0; ++n)
+            {
+                const std::size_t at = picker.pick(shares);
+                RC_ASSERT(shares[at].weight > 0.0);
+                counts[at] += 1.0;
+                for (std::size_t i = 0; n == period && i < shares.size(); ++i)
+                {
+                    RC_ASSERT(counts[i] == shares[i].weight);
+                }
+            }
+        }
+    };
+    CHECK(test::holds(13, 500, property));
+}
+
 // Guards against a match of a shorter prefix, of another host's route, or of a
 // path that lacks the prefix's trailing slash.
 TEST_CASE("the longest matching prefix of the host is chosen", "[entry]")
