Forget the longest time left of a route's requests

Cause: the longest time left was a maximum for good. Change: it is that of the last one to two spans of 30 s. Measured: "a long deadline of one caller is forgotten" fails without the spans (4 checks) and passes.

--- a/src/config/entry.hpp
+++ b/src/config/entry.hpp
@@ -222,6 +222,10 @@
 // route's longest time left; above it the request is taken for a repetition.
 inline constexpr double min_spent_share = 0.03;
 
+// The longest time left counts for one to two of these spans: longer than a
+// caller goes on with its attempts, so that a first attempt is within them.
+inline constexpr auto time_left_span = 30s;
+
 // Rollouts of the entry path. The constants named `_at` are shares of the
 // order's time limit.
 inline constexpr double rollout_canary_part = 0.5; // of the allowed share
--- a/src/entry_query.cpp
+++ b/src/entry_query.cpp
@@ -37,8 +37,8 @@
       stats_(context.routes[route.name]), message_(std::move(message)),
       priority_(priority), answer_(std::move(answer)), timer_(context.loop),
       started_(monotonic_clock::now()),
-      spent_before_(
-          spent_before(stats_, message_.time_left.value_or(route.timeout))),
+      spent_before_(spent_before(
+          stats_, message_.time_left.value_or(route.timeout), started_)),
       target_latency_left_(std::max<duration>(
           route.target_latency - spent_before_, duration::zero())),
       give_up_after_(
--- a/src/route_stats.cpp
+++ b/src/route_stats.cpp
@@ -62,13 +62,22 @@
 }
 
 duration
-spent_before(route_stats& stats, duration time_left)
+spent_before(route_stats& stats, duration time_left, monotonic_time now)
 {
+    const duration age = now - stats.time_left_since;
+    if (age >= config::time_left_span)
+    {
+        const bool follows = age < 2 * config::time_left_span;
+        stats.longest_time_left_before =
+            follows ? stats.longest_time_left : duration::zero();
+        stats.longest_time_left = duration::zero();
+        stats.time_left_since = now;
+    }
     stats.longest_time_left = std::max(stats.longest_time_left, time_left);
-    const duration spent = stats.longest_time_left - time_left;
-    return spent > stats.longest_time_left * config::min_spent_share
-               ? spent
-               : duration::zero();
+    const duration longest =
+        std::max(stats.longest_time_left, stats.longest_time_left_before);
+    const duration spent = longest - time_left;
+    return spent > longest * config::min_spent_share ? spent : duration::zero();
 }
 
 } // namespace bramleymux
--- a/src/route_stats.hpp
+++ b/src/route_stats.hpp
@@ -18,15 +18,20 @@
     duration hedge_after{}; ///< cached hedge delay, refreshed with the median
     std::uint32_t samples = 0; ///< samples since the last refresh
     share_picker shares;
-    duration longest_time_left{}; ///< longest time left of any request
+    /// Longest time left of a request in the current span and in the one before
+    /// it.
+    duration longest_time_left{};
+    duration longest_time_left_before{};
+    monotonic_time time_left_since{}; ///< start of the current span
 };
 
 /// Estimates the time that the caller has spent on earlier attempts of a
-/// request with `time_left`. The longest time left seen on the route is taken
-/// as that of a first attempt; a repeated attempt has less. Returns zero if the
-/// difference is small.
+/// request with `time_left`. The longest time left seen on the route in the
+/// last one to two spans of `config::time_left_span` is taken as that of a
+/// first attempt; a repeated attempt has less. Returns zero if the difference
+/// is small.
 duration
-spent_before(route_stats& stats, duration time_left);
+spent_before(route_stats& stats, duration time_left, monotonic_time now);
 
 /// Adds a latency sample. Refreshes the median and the hedge delay at the first
 /// sample and then once every few samples.
--- a/tests/test_entry_path.cpp
+++ b/tests/test_entry_path.cpp
@@ -552,9 +552,31 @@
 TEST_CASE("a repeated attempt counts the time of earlier attempts", "[entry]")
 {
     route_stats stats;
-    CHECK(spent_before(stats, 1500ms) == duration::zero());
-    CHECK(spent_before(stats, 1490ms) == duration::zero());
-    CHECK(spent_before(stats, 1400ms) == 100ms);
+    const monotonic_time now{1h};
+    CHECK(spent_before(stats, 1500ms, now) == duration::zero());
+    CHECK(spent_before(stats, 1490ms, now) == duration::zero());
+    CHECK(spent_before(stats, 1400ms, now + 100ms) == 100ms);
+}
+
+// Guards against one caller with a very long deadline after which all requests
+// of the route pass for late repeats, for good.
+TEST_CASE("a long deadline of one caller is forgotten", "[entry]")
+{
+    route_stats stats;
+    monotonic_time now{1h};
+    spent_before(stats, 1h, now);
+    CHECK(spent_before(stats, 1500ms, now) > 59min);
+    // Requests in each span, and none for a while.
+    const duration step =
+        GENERATE(duration(1s), duration(3 * config::time_left_span));
+    const monotonic_time end = now + 2 * config::time_left_span;
+    while (now < end)
+    {
+        now += step;
+        spent_before(stats, 1500ms, now);
+    }
+    CHECK(spent_before(stats, 1500ms, now) == duration::zero());
+    CHECK(spent_before(stats, 1400ms, now + 100ms) == 100ms);
 }
 
 // Guards against requests to a target whose registration was removed without
