Name what the soak counts, and its long requests

Cause: "262" stood for the length of long requests in one place, and the counts of requests that reach a target are now those that run. Change: one constant, and words that say so.

--- a/tests/soak/attempt.hpp
+++ b/tests/soak/attempt.hpp
@@ -42,6 +42,10 @@
     bool own_body = false;
 };
 
+/// Length of the body of a long request: more than the kernel takes at once for
+/// a target that does not read, and less than a desired state allows.
+inline constexpr std::size_t long_body_bytes = 262000;
+
 /// Returns the text of the key with this number.
 std::string
 key_text(std::size_t key);
--- a/tests/soak/caller.cpp
+++ b/tests/soak/caller.cpp
@@ -34,8 +34,6 @@
 constexpr std::uint64_t longest_pause_ms = 60;
 constexpr std::uint64_t longest_body_gap_us = 3000;
 constexpr std::uint64_t longest_body_bytes = 1500;
-// More than the kernel takes at once for a target that does not read.
-constexpr std::size_t long_body_bytes = 262000;
 constexpr auto time_limit = 4s;
 // Beyond the time limit plus all stops of a VM that can fall into it.
 constexpr auto patience = 10s;
--- a/tests/soak/deployment.cpp
+++ b/tests/soak/deployment.cpp
@@ -288,8 +288,10 @@
 {
     const std::string id_field = "X-Request-Id: ";
     const std::size_t at = bytes.find(id_field);
-    const std::size_t length = bytes.find("Content-Length: 262");
-    const bool is_long = at != std::string::npos && length != std::string::npos;
+    const bool is_long =
+        at != std::string::npos &&
+        bytes.find("Content-Length: " + std::to_string(long_body_bytes)) !=
+            std::string::npos;
     const auto chosen = is_long ? conducts_.next_early() : std::nullopt;
     if (!chosen)
     {
@@ -300,7 +302,7 @@
     return reply_to(id, target, *chosen);
 }
 
-/// Counts the arrival of the request and returns the reply to it.
+/// Counts the run of the request, if it runs, and returns the reply to it.
 fixture::scripted_reply
 deployment::reply_to(
     std::uint64_t id, std::size_t target, const conduct& chosen)
--- a/tests/soak/deployment.hpp
+++ b/tests/soak/deployment.hpp
@@ -15,7 +15,7 @@
 {
 
 /// Writes desired states and registers stand-in targets in the store. Counts
-/// how many times each request reaches a target.
+/// how many times each request runs.
 class deployment
 {
 public:
--- a/tests/soak/oracle.hpp
+++ b/tests/soak/oracle.hpp
@@ -22,7 +22,7 @@
 /// What is known of a request besides what its caller saw.
 struct evidence
 {
-    std::uint32_t runs = 0; ///< targets that saw the request
+    std::uint32_t runs = 0; ///< at targets
     bool vm_killed = false; ///< by SIGKILL, while the request was open
     /// Time between send and end in which the VM was stopped by SIGSTOP or this
     /// process did not run.
