Name the size of a record once in the soak

Cause: three files had a constant of their own for it. Change: one, in answers.hpp. Result: no behaviour changes.

--- a/tests/soak/answers.cpp
+++ b/tests/soak/answers.cpp
@@ -11,8 +11,6 @@
 namespace
 {
 
-constexpr std::size_t record_bytes = 16;
-
 std::string
 padded(std::uint64_t number, std::size_t width)
 {
--- a/tests/soak/answers.hpp
+++ b/tests/soak/answers.hpp
@@ -10,6 +10,9 @@
 /// Shards of the gathered route.
 inline constexpr std::size_t shard_count = 2;
 
+/// Size of one record of a part.
+inline constexpr std::size_t record_bytes = 16;
+
 /// Returns the only body that a target sends to the request `id` of a route
 /// that is not gathered.
 std::string
--- a/tests/soak/conduct.cpp
+++ b/tests/soak/conduct.cpp
@@ -1,5 +1,7 @@
 #include "conduct.hpp"
 
+#include "answers.hpp"
+
 #include <iterator>
 #include <sstream>
 
@@ -114,7 +116,6 @@
         return {fixture::http_text(c.status, fields + more, "failed")};
     }
     // Half a body, of whole records if it is a part.
-    constexpr std::size_t record_bytes = 16;
     const std::string sent =
         c.cut ? body.substr(0, body.size() / 2 / record_bytes * record_bytes)
               : body;
--- a/tests/test_soak_oracle.cpp
+++ b/tests/test_soak_oracle.cpp
@@ -166,11 +166,10 @@
     using soak::is_merged_answer;
     const auto merged = [](const std::string& parts)
     {
-        constexpr std::size_t record_bytes = 16;
         std::vector<std::string> records;
-        for (std::size_t at = 0; at < parts.size(); at += record_bytes)
+        for (std::size_t at = 0; at < parts.size(); at += soak::record_bytes)
         {
-            records.push_back(parts.substr(at, record_bytes));
+            records.push_back(parts.substr(at, soak::record_bytes));
         }
         std::sort(records.begin(), records.end(), std::greater<>());
         std::string out;
