Review: keep case 15 within the time of its disruption

Cause: serializable reads were old for the whole run, while the longest for_s of stale reads in the site file is 13 s. Change: they are 5 s old for 12 s, from half a second before the order.

--- a/review/15/case.cpp
+++ b/review/15/case.cpp
@@ -13,6 +13,7 @@
 {
 
 constexpr double stale_by_s = 5;
+constexpr double stale_for_s = 12; // from half a second before the order
 constexpr int machines = 2;
 constexpr int searchers_per_version = 3;
 constexpr int requests_per_s = 135;
@@ -148,7 +149,6 @@
 
     counts seen;
     store platform;
-    platform.set_stale_by(trouble ? stale_by_s : 0);
     std::deque<searcher> searchers;
     const auto start_searchers = [&](const std::string& version)
     {
@@ -198,6 +198,9 @@
     for (int i = 0; seconds_since(start) < end_s; ++i)
     {
         const double now = seconds_since(start);
+        const bool stale =
+            trouble && now >= lead_s - 0.5 && now < lead_s - 0.5 + stale_for_s;
+        platform.set_stale_by(stale ? stale_by_s : 0);
         if (!ordered && now >= lead_s)
         {
             ordered = true;
